--- /dev/null
+++ b/crates/cowslip-entry/src/adapter_plan.rs
@@ -0,0 +1,198 @@
+//! Which engine fetches which adapter.
+//!
+//! An adapter takes milliseconds to load, so it is fetched when the first request waits for it. It goes to the engine
+//! that holds its model and fewest adapters; when that has no place, the adapter asked for longest ago makes way.
+
+use cowslip_units::{ClockTime, ModelId, ServiceId};
+use smol_str::SmolStr;
+
+use crate::{
+    AdapterPlace, DemandTable, EngineAction, EngineOrder, EngineRule, ModelNeed, OrderAnswer, PlannedEngine,
+};
+
+/// Time in ms after which an adapter on its way is taken to be there.
+const FETCH_MS: u64 = 15;
+
+/// Adapters on their way to one engine at most.
+const MAX_PENDING: usize = 4;
+
+/// Adapters on their way to all engines at most, for full speed.
+const MAX_PENDING_TOTAL: usize = 16;
+
+/// Pause in ms after an adapter order that was not carried out.
+const RETRY_MS: u64 = 40;
+
+/// Time in ms within which an adapter that was asked for does not make way.
+const KEEP_MS: u64 = 300;
+
+/// Orders for adapters that requests wait for.
+pub(crate) fn adapter_orders(
+    engines: &mut [PlannedEngine],
+    service: &ServiceId,
+    rule: &EngineRule,
+    demand: &DemandTable,
+    now: ClockTime,
+) -> Vec<EngineOrder> {
+    let mut orders = Vec::new();
+    for engine in engines.iter_mut() {
+        settle(engine, now);
+    }
+    for waiting in demand.waiting_adapters(now) {
+        let Some(adapter) = waiting.need.adapter.clone() else { continue };
+        let model = waiting.need.model;
+        let pending: usize = engines.iter().map(|engine| engine.pending.len()).sum();
+        if rule.model(&model).is_none() || pending >= MAX_PENDING_TOTAL {
+            continue;
+        }
+        let holders =
+            || engines.iter().filter(|engine| engine.entry.service == *service && engine.entry.holds(&model));
+        if holders().any(|engine| has_adapter(engine, &model, &adapter)) {
+            continue;
+        }
+        let open = |engine: &&PlannedEngine| takes_adapter(engine, &model, now);
+        let Some(chosen) = holders().filter(open).min_by_key(|engine| engine.adapter_count()) else {
+            continue;
+        };
+        let id = chosen.entry.id.clone();
+        if let Some(engine) = engines.iter_mut().find(|engine| engine.entry.id == id) {
+            orders.extend(order_for(engine, rule, demand, &model, &adapter, now));
+        }
+    }
+    orders
+}
+
+/// Adapters that engines hold by now, sorted.
+pub fn adapter_places(engines: &[PlannedEngine], now: ClockTime) -> Vec<AdapterPlace> {
+    let mut places = Vec::new();
+    for engine in engines {
+        let held = engine
+            .entry
+            .models
+            .iter()
+            .flat_map(|held| held.adapters.iter().map(move |name| (&held.name, name)));
+        let there = engine.pending.iter().filter(|(.., at)| now >= *at).map(|(model, name, _)| (model, name));
+        for (model, adapter) in held.chain(there) {
+            places.push(AdapterPlace {
+                upstream: engine.entry.id.clone(),
+                model: model.clone(),
+                adapter: adapter.clone(),
+            });
+        }
+    }
+    places.sort();
+    places
+}
+
+/// Moves adapters that should have arrived from pending to held.
+fn settle(engine: &mut PlannedEngine, now: ClockTime) {
+    let (there, pending) = std::mem::take(&mut engine.pending).into_iter().partition(|(.., at)| now >= *at);
+    engine.pending = pending;
+    let there: Vec<(ModelId, SmolStr, ClockTime)> = there;
+    for (model, name, _) in there {
+        if let Some(held) = engine.entry.models.iter_mut().find(|held| held.name == model)
+            && !held.adapters.contains(&name)
+        {
+            held.adapters.push(name);
+        }
+    }
+}
+
+fn has_adapter(engine: &PlannedEngine, model: &ModelId, adapter: &SmolStr) -> bool {
+    let held = engine.entry.models.iter().any(|held| held.name == *model && held.adapters.contains(adapter));
+    let coming = engine.pending.iter().any(|(of, name, _)| of == model && name == adapter);
+    let ordered = matches!(&engine.adapter_sent, Some(EngineAction::LoadAdapter(of, name)) if of == model && name == adapter);
+    held || coming || ordered
+}
+
+fn takes_adapter(engine: &PlannedEngine, model: &ModelId, now: ClockTime) -> bool {
+    let leaves = engine.task.as_ref().is_some_and(|task| task.victims.contains(model));
+    let changes = engine
+        .task
+        .as_ref()
+        .is_some_and(|task| !matches!(task.stage, crate::planned_engine::TaskStage::Loading(_)));
+    engine.known
+        && !engine.closed
+        && !leaves
+        && !changes
+        && engine.ask_at.is_none()
+        && engine.adapter_sent.is_none()
+        && now >= engine.next_adapter_at
+        && engine.pending.len() < MAX_PENDING
+}
+
+fn order_for(
+    engine: &mut PlannedEngine,
+    rule: &EngineRule,
+    demand: &DemandTable,
+    model: &ModelId,
+    adapter: &SmolStr,
+    now: ClockTime,
+) -> Option<EngineOrder> {
+    let adapter_mb = rule.model(model).map_or(0.0, |rule| rule.adapter_mb);
+    // A load under way takes its memory before the engine lists the model.
+    let loading =
+        engine.task.as_ref().and_then(|task| rule.model(&task.model)).map_or(0.0, |rule| rule.size_mb);
+    let full = engine.adapter_count() >= rule.max_adapters
+        || engine.used_mb(rule) + loading + adapter_mb > rule.memory_mb;
+    let action = if full {
+        let (of, name) = oldest_idle(engine, demand, now)?;
+        EngineAction::UnloadAdapter(of, name)
+    } else {
+        EngineAction::LoadAdapter(model.clone(), adapter.clone())
+    };
+    engine.adapter_sent = Some(action.clone());
+    Some(EngineOrder {
+        upstream: engine.entry.id.clone(),
+        address: engine.entry.address,
+        action,
+        expected_orders: engine.entry.orders,
+    })
+}
+
+/// The adapter that was asked for longest ago, among those that no call uses.
+fn oldest_idle(engine: &PlannedEngine, demand: &DemandTable, now: ClockTime) -> Option<(ModelId, SmolStr)> {
+    let held =
+        engine.entry.models.iter().flat_map(|held| held.adapters.iter().map(move |name| (&held.name, name)));
+    let idle = held.filter(|(model, name)| demand.running_at(&engine.entry.id, model, Some(name)) == 0);
+    let asked = |model: &ModelId, name: &SmolStr| {
+        demand.adapter_asked_at(&ModelNeed { model: model.clone(), adapter: Some(name.clone()) })
+    };
+    let oldest = idle.min_by_key(|(model, name)| asked(model, name))?;
+    (now.since_ms(asked(oldest.0, oldest.1)) >= KEEP_MS).then(|| (oldest.0.clone(), oldest.1.clone()))
+}
+
+/// Takes the answer to an order about an adapter.
+pub(crate) fn adapter_answered(
+    engine: &mut PlannedEngine,
+    order: &EngineOrder,
+    answer: OrderAnswer,
+    now: ClockTime,
+) {
+    if engine.adapter_sent.as_ref() != Some(&order.action) {
+        return;
+    }
+    engine.adapter_sent = None;
+    match answer {
+        OrderAnswer::Started | OrderAnswer::Holds => {
+            if answer == OrderAnswer::Started || matches!(order.action, EngineAction::UnloadAdapter(..)) {
+                engine.entry.orders = order.expected_orders + 1;
+            }
+            match &order.action {
+                EngineAction::LoadAdapter(model, name) => {
+                    engine.pending.push((model.clone(), name.clone(), now.plus_ms(FETCH_MS)));
+                }
+                EngineAction::UnloadAdapter(model, name) => {
+                    if let Some(held) = engine.entry.models.iter_mut().find(|held| held.name == *model) {
+                        held.adapters.retain(|known| known != name);
+                    }
+                }
+                EngineAction::Load(_) | EngineAction::Unload(_) => {}
+            }
+        }
+        OrderAnswer::NotSent => engine.next_adapter_at = now.plus_ms(RETRY_MS),
+        OrderAnswer::Conflict | OrderAnswer::InDoubt | OrderAnswer::Refused => {
+            engine.next_adapter_at = now.plus_ms(RETRY_MS);
+            engine.ask_at = Some(now.plus_ms(RETRY_MS));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -0,0 +1,167 @@
+//! What gateways tell their leader, and what it answers.
+
+use std::net::SocketAddr;
+
+use cowslip_units::{ModelId, TeamId, UpstreamId};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// How fresh a gateway's view of the store is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewStamp {
+    /// Store version up to which the operators' table is known.
+    pub version: u64,
+    /// Age in ms of the store call that proved it; `None` when it is not proven.
+    pub age_ms: Option<u64>,
+    /// Store version up to which the upstreams' table is known.
+    pub upstream_version: u64,
+}
+
+/// Requests for a model, or for one of its adapters, at a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandLine {
+    /// The model.
+    pub model: ModelId,
+    /// The adapter, for requests that name one.
+    pub adapter: Option<SmolStr>,
+    /// Requests that arrived since the last report.
+    pub arrived: u32,
+    /// Requests that wait because no upstream holds what they need.
+    pub waiting: u32,
+    /// Longest wait among them in ms.
+    pub oldest_ms: u64,
+    /// Best rank among them; 0 goes first.
+    pub priority: u8,
+}
+
+/// Calls of a gateway that run at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningLine {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The model; `None` at a plain service.
+    pub model: Option<ModelId>,
+    /// The adapter, for requests that name one.
+    pub adapter: Option<SmolStr>,
+    /// Number of calls.
+    pub count: u32,
+}
+
+/// Tokens of a team that a gateway asks for and gives back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenAsk {
+    /// The team.
+    pub team: TeamId,
+    /// Tokens that waiting requests lack.
+    pub short: u64,
+    /// Tokens for the requests of the next moments.
+    pub ahead: u64,
+    /// Granted tokens that expired unspent.
+    pub returned: u64,
+}
+
+/// A gateway's report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayReport {
+    /// Name of the gateway's VM.
+    pub gateway: SmolStr,
+    /// Where other gateways reach it.
+    pub address: Option<SocketAddr>,
+    /// How fresh its view is.
+    pub view: ViewStamp,
+    /// Demand for models.
+    pub demand: Vec<DemandLine>,
+    /// Running calls.
+    pub running: Vec<RunningLine>,
+    /// Tokens asked for and given back.
+    pub tokens: Vec<TokenAsk>,
+}
+
+/// The leader's word on one team's tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrantLine {
+    /// The team.
+    pub team: TeamId,
+    /// Tokens granted.
+    pub granted: u64,
+    /// Time in ms until what is short is believed to be there; 0 when nothing is short.
+    pub wait_ms: u64,
+}
+
+/// A model that an upstream is going to hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ArrivalLine {
+    /// The model.
+    pub model: ModelId,
+    /// Time in ms until it can serve.
+    pub wait_ms: u64,
+}
+
+/// An adapter at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AdapterPlace {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The model.
+    pub model: ModelId,
+    /// The adapter.
+    pub adapter: SmolStr,
+}
+
+/// Calls of the whole fleet at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadLine {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Number of calls.
+    pub count: u32,
+}
+
+/// The answer to a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderAnswer {
+    /// True when the answering gateway leads.
+    pub leads: bool,
+    /// Where it believes the leader to be.
+    pub leader: Option<SocketAddr>,
+    /// How fresh the answering gateway's view is.
+    pub view: ViewStamp,
+    /// Names of the gateways that report to it, sorted.
+    pub members: Vec<SmolStr>,
+    /// Where some of them are reached.
+    pub peers: Vec<SocketAddr>,
+    /// Tokens.
+    pub grants: Vec<TokenGrantLine>,
+    /// Running calls of the fleet, this gateway's included.
+    pub running: Vec<LoadLine>,
+    /// Adapters that upstreams hold, sorted.
+    pub adapters: Vec<AdapterPlace>,
+    /// Models that are being loaded or wait for it.
+    pub arrivals: Vec<ArrivalLine>,
+    /// Models that are about to be unloaded.
+    pub leaving: Vec<(UpstreamId, ModelId)>,
+}
+
+/// A row of the store, passed on by a gateway that has read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopiedRow {
+    /// Its key.
+    pub key: SmolStr,
+    /// Its value, as text.
+    pub value: String,
+    /// Its version.
+    pub version: u64,
+}
+
+/// A gateway's copy of the store's tables, for one that the store does not answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewCopy {
+    /// How fresh the operators' table is.
+    pub view: ViewStamp,
+    /// Rows of the operators' table.
+    pub operator_rows: Vec<CopiedRow>,
+    /// Version of the upstreams' table.
+    pub upstream_version: u64,
+    /// Rows of the upstreams' table.
+    pub upstream_rows: Vec<CopiedRow>,
+}
--- /dev/null
+++ b/crates/cowslip-entry/src/lib.rs
@@ -0,0 +1,60 @@
+//! Decisions of the gateway on the users' platform, as plain state machines: no I/O, no clock, no names of the
+//! platform.
+//!
+//! - the operators' table: [`FleetConfig`], [`OperatorView`]
+//! - upstreams and the choice among them: [`UpstreamEntry`], [`KnownUpstream`], [`UpstreamBook`]
+//! - limits kept by all gateways together: [`TokenPurse`] and [`GrantBook`], [`ColdGate`], [`RepeatBudget`]
+//! - how long a request may wait: [`WaitLimit`]
+//! - the leader's placement: [`DemandTable`], [`LoadPlanner`]
+//! - messages between gateways: [`GatewayReport`], [`LeaderAnswer`]
+
+mod adapter_plan;
+mod caller_limits;
+mod cold_gate;
+mod engine_order;
+mod fleet_config;
+mod fleet_messages;
+mod grant_book;
+mod known_upstream;
+mod load_budget;
+mod load_planner;
+mod model_demand;
+mod operator_view;
+mod planned_engine;
+mod rendezvous;
+mod repeat_budget;
+mod request_need;
+mod route_rule;
+mod service_rule;
+mod team_rule;
+mod token_purse;
+mod upstream_book;
+mod upstream_entry;
+mod wait_limit;
+
+pub use adapter_plan::adapter_places;
+pub use caller_limits::CallerLimits;
+pub use cold_gate::{ColdGate, ColdLimit};
+pub use engine_order::{EngineAction, EngineOrder, EngineStatus, OrderAnswer, PlanStep};
+pub use fleet_config::FleetConfig;
+pub use fleet_messages::{
+    AdapterPlace, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LoadLine, RunningLine,
+    TokenAsk, TokenGrantLine, ViewCopy, ViewStamp,
+};
+pub use grant_book::GrantBook;
+pub use known_upstream::KnownUpstream;
+pub use load_budget::{LoadBudget, StoreLimit};
+pub use load_planner::LoadPlanner;
+pub use model_demand::{AdapterDemand, DemandTable, ModelDemand};
+pub use operator_view::{OperatorChange, OperatorRow, OperatorView, ViewOutcome};
+pub use planned_engine::{PlannedEngine, WeightTier};
+pub use rendezvous::{pair_weight, rank_of, text_hash};
+pub use repeat_budget::{RepeatBudget, RepeatLimit};
+pub use request_need::{ModelNeed, RequestNeed};
+pub use route_rule::{RouteKind, RouteRule, RouteTarget};
+pub use service_rule::{EngineRule, ModelRule, ServiceRule};
+pub use team_rule::TeamRule;
+pub use token_purse::{ALONE_AFTER_MS, GRANT_MS, PurseStep, TokenPurse};
+pub use upstream_book::{LAPSE_HOLD_MS, PickScope, UpstreamBook, UpstreamPick, WaitCause};
+pub use upstream_entry::{HeldModel, UpstreamEntry};
+pub use wait_limit::WaitLimit;
--- /dev/null
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -0,0 +1,484 @@
+//! Which engine loads which model, and what makes way.
+//!
+//! Load this answers: many more models than places, most of them asked for about once in a load's time, a few asked
+//! for all the time. A rare model is loaded where its weights lie nearest, in place of an idle model that is asked for
+//! least. Models that no engine has on its disk are fetched ahead while the weight store is idle, because the first
+//! load takes several times as long as the later ones.
+
+use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
+
+use crate::planned_engine::{EngineTask, MAX_CONFLICTS, TaskStage, load_ms};
+use crate::{
+    ArrivalLine, DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, LoadBudget,
+    ModelDemand, OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry, WeightTier,
+};
+
+/// Calls of a busy model that one engine should run.
+const CALLS_PER_REPLICA: f64 = 8.0;
+
+/// Rate a second from which a model has two replicas.
+const BUSY_PER_S: f64 = 0.6;
+
+/// Time in ms for which a freshly loaded model is not unloaded.
+const PROTECT_MS: u64 = 1_200;
+
+/// Time in ms that waiting for the calls of a victim is reckoned to take.
+const RUNNING_MS: f64 = 1_500.0;
+
+/// First and longest pause in ms before an order is repeated after a conflict.
+const CONFLICT_MS: (u64, u64) = (25, 300);
+
+/// Pause in ms between an unload and the load that takes its place.
+const AFTER_UNLOAD_MS: u64 = 3;
+
+/// Time in ms after the expected end of a load at which the engine is asked.
+const LATE_MS: u64 = 250;
+
+/// Time in ms before an order in doubt is repeated.
+const DOUBT_MS: u64 = 250;
+
+/// Loads from the weight store that run ahead of demand at most, as a part of those at full speed.
+const AHEAD_PART: f64 = 0.75;
+
+/// The leader's plan for all engines.
+#[derive(Clone, Debug)]
+pub struct LoadPlanner {
+    engines: Vec<PlannedEngine>,
+    demand: DemandTable,
+    budget: LoadBudget,
+    limit: StoreLimit,
+    /// No order is sent before this time: an earlier leader's may still arrive.
+    orders_from: ClockTime,
+}
+
+impl LoadPlanner {
+    /// A plan that sends orders from `orders_from` on.
+    pub fn new(limit: StoreLimit, orders_from: ClockTime, now: ClockTime) -> Self {
+        Self {
+            engines: Vec::new(),
+            demand: DemandTable::new(now),
+            budget: LoadBudget::new(now),
+            limit,
+            orders_from,
+        }
+    }
+
+    /// The demand.
+    pub fn demand(&self) -> &DemandTable {
+        &self.demand
+    }
+
+    /// All engines, sorted by id.
+    pub fn engines(&self) -> &[PlannedEngine] {
+        &self.engines
+    }
+
+    fn find(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.engines.binary_search_by(|engine| engine.entry.id.cmp(id))
+    }
+
+    /// Takes a gateway's report.
+    pub fn heard(&mut self, report: GatewayReport, now: ClockTime) {
+        self.demand.heard(report, now);
+    }
+
+    /// Takes the entries of all engines; those that are not named are gone.
+    pub fn sync<'a>(
+        &mut self,
+        entries: impl Iterator<Item = &'a UpstreamEntry>,
+        evacuated: &[DomainId],
+        now: ClockTime,
+    ) {
+        let mut engines = Vec::with_capacity(self.engines.len());
+        for entry in entries {
+            let known = self.find(&entry.id).ok().and_then(|at| self.engines.get(at));
+            let mut engine = match known {
+                Some(known) => known.clone(),
+                None => PlannedEngine::new(entry.clone(), now),
+            };
+            engine.update(entry.clone(), now);
+            engine.closed = engine.entry.draining || evacuated.contains(&engine.entry.domain);
+            engines.push(engine);
+        }
+        engines.sort_by(|left, right| left.entry.id.cmp(&right.entry.id));
+        self.engines = engines;
+    }
+
+    /// Takes an engine's status, or nothing when it did not answer.
+    pub fn status(&mut self, upstream: &UpstreamId, status: Option<EngineStatus>, now: ClockTime) {
+        let Ok(at) = self.find(upstream) else { return };
+        let Some(engine) = self.engines.get_mut(at) else { return };
+        match status {
+            Some(status) => engine.status(status, now),
+            None => {
+                engine.asking = false;
+                engine.ask_at = Some(now.plus_ms(DOUBT_MS));
+            }
+        }
+    }
+
+    /// Takes the answer to an order.
+    pub fn answered(&mut self, order: &EngineOrder, answer: OrderAnswer, rule: &EngineRule, now: ClockTime) {
+        let Ok(at) = self.find(&order.upstream) else { return };
+        let Some(engine) = self.engines.get_mut(at) else { return };
+        match &order.action {
+            EngineAction::Load(_) | EngineAction::Unload(_) => {
+                model_answered(engine, order, answer, rule, now);
+            }
+            EngineAction::LoadAdapter(..) | EngineAction::UnloadAdapter(..) => {
+                crate::adapter_plan::adapter_answered(engine, order, answer, now);
+            }
+        }
+    }
+
+    /// What to do now.
+    pub fn step(&mut self, services: &[ServiceRule], now: ClockTime) -> Vec<PlanStep> {
+        self.demand.refresh(now);
+        let mut steps = Vec::new();
+        self.ask(now, &mut steps);
+        if now < self.orders_from {
+            return steps;
+        }
+        for service in services {
+            let Some(rule) = &service.engine else { continue };
+            self.budget.refill(rule.loads_per_s, self.limit.extra, now);
+            self.serve_waiting(&service.name, rule, now);
+            self.add_replicas(&service.name, rule, now);
+            self.fetch_ahead(&service.name, rule, now);
+            self.send_tasks(&service.name, rule, now, &mut steps);
+            self.plan_adapters(&service.name, rule, now, &mut steps);
+        }
+        steps
+    }
+
+    fn ask(&mut self, now: ClockTime, steps: &mut Vec<PlanStep>) {
+        for engine in &mut self.engines {
+            if let Some(task) = &engine.task
+                && let TaskStage::Loading(until) = task.stage
+                && now >= until.plus_ms(LATE_MS)
+                && engine.ask_at.is_none()
+            {
+                engine.ask_at = Some(now);
+            }
+            if !engine.asking && engine.ask_at.is_some_and(|at| now >= at) {
+                engine.asking = true;
+                steps.push(PlanStep::Ask(engine.entry.id.clone(), engine.entry.address));
+            }
+        }
+    }
+
+    /// Models being loaded from the weight store.
+    fn store_loads(&self) -> usize {
+        let from_store =
+            |engine: &&PlannedEngine| engine.task.as_ref().is_some_and(|task| task.tier == WeightTier::Store);
+        self.engines.iter().filter(from_store).count()
+    }
+
+    fn replicas(&self, service: &ServiceId, model: &ModelId) -> usize {
+        let of_service =
+            self.engines.iter().filter(|engine| engine.entry.service == *service && !engine.closed);
+        of_service
+            .filter(|engine| {
+                let leaves = engine.task.as_ref().is_some_and(|task| task.victims.contains(model));
+                let comes = engine.task.as_ref().is_some_and(|task| task.model == *model);
+                (engine.entry.holds(model) && !leaves) || comes
+            })
+            .count()
+    }
+
+    /// Loads models that requests wait for, the most urgent first.
+    fn serve_waiting(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
+        let waits = |demand: &&ModelDemand| demand.waiting > 0 && rule.model(&demand.model).is_some();
+        let mut waiting: Vec<ModelDemand> = self.demand.models().iter().filter(waits).cloned().collect();
+        waiting.sort_by(|left, right| {
+            let by_number = right.waiting.cmp(&left.waiting);
+            by_number.then(right.oldest_ms.cmp(&left.oldest_ms))
+        });
+        for demand in waiting {
+            if self.replicas(service, &demand.model) == 0 {
+                self.start_load(service, rule, &demand.model, false, now);
+            }
+        }
+    }
+
+    /// Replicas that a model should have.
+    fn wanted_replicas(&self, demand: &ModelDemand, engines: usize) -> usize {
+        let by_calls = (demand.smooth_running / CALLS_PER_REPLICA).ceil() as usize;
+        let least = usize::from(demand.per_s >= BUSY_PER_S) * 2;
+        by_calls.max(least).min(engines.div_ceil(2))
+    }
+
+    fn add_replicas(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
+        let engines = self.engines.iter().filter(|engine| engine.entry.service == *service).count();
+        let mut busy: Vec<ModelDemand> = self
+            .demand
+            .models()
+            .iter()
+            .filter(|demand| rule.model(&demand.model).is_some())
+            .cloned()
+            .collect();
+        busy.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
+        for demand in busy.iter().filter(|demand| demand.per_s >= BUSY_PER_S) {
+            if self.replicas(service, &demand.model) < self.wanted_replicas(demand, engines) {
+                self.start_load(service, rule, &demand.model, true, now);
+            }
+        }
+    }
+
+    /// Fetches models that no engine has on its disk, while the weight store has room.
+    fn fetch_ahead(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
+        let most = ((self.limit.at_once as f64 * AHEAD_PART) as usize).max(1);
+        if self.store_loads() >= most {
+            return;
+        }
+        let copied = |model: &ModelId| {
+            self.engines.iter().any(|engine| {
+                engine.tier(model) != WeightTier::Store
+                    || engine.entry.holds(model)
+                    || engine.task.as_ref().is_some_and(|task| task.model == *model)
+            })
+        };
+        let rate = |model: &ModelId| self.demand.get(model).map_or(0.0, |demand| demand.per_s);
+        let missing = rule.models.iter().map(|model| &model.name).filter(|model| !copied(model));
+        let next = missing.max_by(|left, right| rate(left).total_cmp(&rate(right))).cloned();
+        if let Some(model) = next {
+            self.start_load(service, rule, &model, true, now);
+        }
+    }
+
+    /// Begins a load on the engine where it costs least. With `idle_only`, only idle models make way.
+    fn start_load(
+        &mut self,
+        service: &ServiceId,
+        rule: &EngineRule,
+        model: &ModelId,
+        idle_only: bool,
+        now: ClockTime,
+    ) {
+        let Some(model_rule) = rule.model(model) else { return };
+        let store_loads = self.store_loads();
+        let mut best: Option<(f64, usize, Vec<ModelId>, WeightTier)> = None;
+        for (at, engine) in self.engines.iter().enumerate() {
+            if engine.entry.service != *service || !engine.is_free() || engine.entry.holds(model) {
+                continue;
+            }
+            let tier = engine.tier(model);
+            if tier == WeightTier::Store && (!self.budget.allows() || store_loads > self.limit.at_once) {
+                continue;
+            }
+            let Some((victims, loss)) = self.victims(engine, rule, model_rule.size_mb, idle_only, now) else {
+                continue;
+            };
+            let cost = load_ms(model_rule, tier) as f64 + loss;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, at, victims, tier));
+            }
+        }
+        let Some((_, at, victims, tier)) = best else { return };
+        if tier == WeightTier::Store {
+            self.budget.take();
+        }
+        if let Some(engine) = self.engines.get_mut(at) {
+            engine.task = Some(EngineTask {
+                model: model.clone(),
+                tier,
+                victims,
+                stage: TaskStage::Send(now),
+                started_at: now,
+                conflicts: 0,
+            });
+        }
+    }
+
+    /// The models that should make way for `size_mb`, and what their loss costs in ms; `None` when none may.
+    fn victims(
+        &self,
+        engine: &PlannedEngine,
+        rule: &EngineRule,
+        size_mb: f64,
+        idle_only: bool,
+        now: ClockTime,
+    ) -> Option<(Vec<ModelId>, f64)> {
+        let mut used = engine.used_mb(rule);
+        let mut victims = Vec::new();
+        let mut loss = 0.0;
+        let mut models: Vec<(f64, &ModelId)> = Vec::new();
+        for held in &engine.entry.models {
+            if let Some(value) = self.value(engine, rule, &held.name, idle_only, now) {
+                models.push((value, &held.name));
+            }
+        }
+        models.sort_by(|left, right| left.0.total_cmp(&right.0));
+        for (value, model) in models {
+            if used + size_mb <= rule.memory_mb {
+                break;
+            }
+            used -= rule.model(model).map_or(0.0, |model| model.size_mb);
+            loss += value;
+            victims.push(model.clone());
+        }
+        (used + size_mb <= rule.memory_mb).then_some((victims, loss))
+    }
+
+    /// What unloading a model costs, in ms; `None` when it must stay.
+    fn value(
+        &self,
+        engine: &PlannedEngine,
+        rule: &EngineRule,
+        model: &ModelId,
+        idle_only: bool,
+        now: ClockTime,
+    ) -> Option<f64> {
+        let running = self.demand.running_at(&engine.entry.id, model, None);
+        let replicas = self.replicas(&engine.entry.service, model);
+        let demand = self.demand.get(model);
+        let per_s = demand.map_or(0.0, |demand| demand.per_s);
+        let waiting = demand.map_or(0, |demand| demand.waiting);
+        if engine.loaded_since(model, now) < PROTECT_MS {
+            return None;
+        }
+        if idle_only && (running > 0 || waiting > 0) {
+            return None;
+        }
+        let wanted = demand.map_or(0, |demand| self.wanted_replicas(demand, self.engines.len()));
+        if per_s >= BUSY_PER_S && replicas <= wanted.max(1) {
+            return None;
+        }
+        let reload = rule.model(model).map_or(0, |model| model.disk_ms) as f64;
+        let idle_s = demand.map_or(60.0, |demand| now.since_ms(demand.asked_at) as f64 / 1_000.0).min(60.0);
+        let soon = 1.0 / (1.0 + idle_s);
+        let last = if replicas <= 1 { 1.0 } else { 0.3 };
+        let busy = if running > 0 { RUNNING_MS } else { 0.0 };
+        Some(reload * last * (0.1 + soon + per_s.min(2.0)) + busy)
+    }
+
+    fn send_tasks(
+        &mut self,
+        service: &ServiceId,
+        rule: &EngineRule,
+        now: ClockTime,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        for engine in self.engines.iter_mut().filter(|engine| engine.entry.service == *service) {
+            let used_mb = engine.used_mb(rule);
+            let Some(task) = engine.task.as_mut() else { continue };
+            let TaskStage::Send(at) = task.stage else { continue };
+            if now < at || engine.asking || engine.adapter_sent.is_some() {
+                continue;
+            }
+            let held = |model: &&ModelId| engine.entry.models.iter().any(|held| held.name == **model);
+            let victim = task.victims.iter().find(held).cloned();
+            let size_mb = rule.model(&task.model).map_or(rule.memory_mb, |model| model.size_mb);
+            let action = match victim {
+                Some(victim) => EngineAction::Unload(victim),
+                None if used_mb + size_mb <= rule.memory_mb => EngineAction::Load(task.model.clone()),
+                None => {
+                    // The engine holds more than was planned with.
+                    engine.task = None;
+                    continue;
+                }
+            };
+            task.stage = TaskStage::Sent(action.clone());
+            steps.push(PlanStep::Order(EngineOrder {
+                upstream: engine.entry.id.clone(),
+                address: engine.entry.address,
+                action,
+                expected_orders: engine.entry.orders,
+            }));
+        }
+    }
+
+    fn plan_adapters(
+        &mut self,
+        service: &ServiceId,
+        rule: &EngineRule,
+        now: ClockTime,
+        steps: &mut Vec<PlanStep>,
+    ) {
+        let orders = crate::adapter_plan::adapter_orders(&mut self.engines, service, rule, &self.demand, now);
+        steps.extend(orders.into_iter().map(PlanStep::Order));
+    }
+
+    /// Models that are coming, with the time until they can serve.
+    pub fn arrivals(&self, services: &[ServiceRule], now: ClockTime) -> Vec<ArrivalLine> {
+        let mut lines = Vec::new();
+        for engine in &self.engines {
+            let Some(task) = &engine.task else { continue };
+            let rule = services.iter().find(|service| service.name == engine.entry.service);
+            let Some(model) =
+                rule.and_then(|rule| rule.engine.as_ref()).and_then(|rule| rule.model(&task.model))
+            else {
+                continue;
+            };
+            let wait_ms = match task.stage {
+                TaskStage::Loading(until) => until.since_ms(now),
+                _ => load_ms(model, task.tier),
+            };
+            lines.push(ArrivalLine { model: task.model.clone(), wait_ms });
+        }
+        lines
+    }
+
+    /// Models that are about to be unloaded.
+    pub fn leaving(&self) -> Vec<(UpstreamId, ModelId)> {
+        let of_engine = |engine: &PlannedEngine| -> Vec<(UpstreamId, ModelId)> {
+            let victims = engine.task.iter().flat_map(|task| &task.victims);
+            victims.map(|victim| (engine.entry.id.clone(), victim.clone())).collect()
+        };
+        self.engines.iter().flat_map(of_engine).collect()
+    }
+}
+
+fn model_answered(
+    engine: &mut PlannedEngine,
+    order: &EngineOrder,
+    answer: OrderAnswer,
+    rule: &EngineRule,
+    now: ClockTime,
+) {
+    let Some(task) = engine.task.as_mut() else { return };
+    if !matches!(&task.stage, TaskStage::Sent(action) if *action == order.action) {
+        return;
+    }
+    match answer {
+        OrderAnswer::Started | OrderAnswer::Holds => {
+            if answer == OrderAnswer::Started {
+                engine.entry.orders = order.expected_orders + 1;
+            }
+            task.conflicts = 0;
+            match &order.action {
+                EngineAction::Unload(model) => {
+                    engine.entry.models.retain(|held| held.name != *model);
+                    engine.pending.retain(|(of, ..)| of != model);
+                    task.stage = TaskStage::Send(now.plus_ms(AFTER_UNLOAD_MS));
+                }
+                _ if answer == OrderAnswer::Holds => engine.task = None,
+                _ => {
+                    let time = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
+                    task.stage = TaskStage::Loading(now.plus_ms(time));
+                }
+            }
+        }
+        OrderAnswer::Conflict => {
+            task.conflicts += 1;
+            let pause = (CONFLICT_MS.0 << task.conflicts.min(5)).min(CONFLICT_MS.1);
+            task.stage = TaskStage::Send(now.plus_ms(pause));
+            if task.conflicts % 3 == 0 {
+                engine.ask_at = Some(now);
+            }
+            if task.conflicts > 4 * MAX_CONFLICTS {
+                engine.task = None;
+            }
+        }
+        OrderAnswer::NotSent => task.stage = TaskStage::Send(now.plus_ms(DOUBT_MS)),
+        OrderAnswer::InDoubt => {
+            // The same order under the same count again: one of the two takes effect at most.
+            task.stage = TaskStage::Send(now.plus_ms(DOUBT_MS));
+            engine.ask_at = Some(now);
+        }
+        OrderAnswer::Refused => {
+            engine.task = None;
+            engine.ask_at = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslip-entry/src/model_demand.rs
@@ -0,0 +1,231 @@
+//! How much each model is asked for, summed over the gateways' reports.
+
+use cowslip_units::{ClockTime, ModelId};
+use smol_str::SmolStr;
+
+use crate::{GatewayReport, ModelNeed};
+
+/// Time in ms over which rates are smoothed.
+const SMOOTH_MS: f64 = 5_000.0;
+
+/// Time in ms after which a gateway's last report no longer counts.
+const STALE_MS: u64 = 1_500;
+
+/// Demand for one model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelDemand {
+    /// The model.
+    pub model: ModelId,
+    /// Requests a second, smoothed.
+    pub per_s: f64,
+    /// Requests that wait for it.
+    pub waiting: u32,
+    /// Calls that run.
+    pub running: u32,
+    /// Best rank among those that wait.
+    pub priority: u8,
+    /// Longest wait in ms.
+    pub oldest_ms: u64,
+    /// When it was last asked for.
+    pub asked_at: ClockTime,
+    /// Calls that run, smoothed.
+    pub smooth_running: f64,
+}
+
+/// Requests that wait for an adapter.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdapterDemand {
+    /// The adapter.
+    pub need: ModelNeed,
+    /// Longest wait in ms.
+    pub oldest_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct HeardReport {
+    gateway: SmolStr,
+    at: ClockTime,
+    report: GatewayReport,
+}
+
+/// Demand for all models.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DemandTable {
+    models: Vec<ModelDemand>,
+    adapters: Vec<(ModelNeed, ClockTime)>,
+    reports: Vec<HeardReport>,
+    smoothed_at: ClockTime,
+}
+
+impl DemandTable {
+    /// No demand.
+    pub fn new(now: ClockTime) -> Self {
+        Self { smoothed_at: now, ..Self::default() }
+    }
+
+    /// Takes a gateway's report.
+    pub fn heard(&mut self, report: GatewayReport, now: ClockTime) {
+        for line in &report.demand {
+            let demand = self.entry(&line.model, now);
+            demand.per_s += f64::from(line.arrived) * 1_000.0 / SMOOTH_MS;
+            if line.arrived + line.waiting > 0 {
+                demand.asked_at = now;
+            }
+            if line.adapter.is_some() {
+                self.asked_adapter(
+                    ModelNeed { model: line.model.clone(), adapter: line.adapter.clone() },
+                    now,
+                );
+            }
+        }
+        let at = self.reports.binary_search_by(|heard| heard.gateway.cmp(&report.gateway));
+        let heard = HeardReport { gateway: report.gateway.clone(), at: now, report };
+        match at {
+            Ok(at) => {
+                if let Some(place) = self.reports.get_mut(at) {
+                    *place = heard;
+                }
+            }
+            Err(at) => self.reports.insert(at, heard),
+        }
+    }
+
+    fn asked_adapter(&mut self, need: ModelNeed, now: ClockTime) {
+        match self.adapters.binary_search_by(|(known, _)| known.cmp(&need)) {
+            Ok(at) => {
+                if let Some(known) = self.adapters.get_mut(at) {
+                    known.1 = now;
+                }
+            }
+            Err(at) => self.adapters.insert(at, (need, now)),
+        }
+    }
+
+    fn entry(&mut self, model: &ModelId, now: ClockTime) -> &mut ModelDemand {
+        let at = match self.models.binary_search_by(|demand| demand.model.cmp(model)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.models.insert(at, ModelDemand::new(model.clone(), now));
+                at
+            }
+        };
+        &mut self.models[at]
+    }
+
+    /// Sums the reports up; call it before each decision.
+    pub fn refresh(&mut self, now: ClockTime) {
+        self.reports.retain(|heard| now.since_ms(heard.at) < STALE_MS);
+        let elapsed = now.since_ms(self.smoothed_at) as f64;
+        self.smoothed_at = now;
+        let keep = (-elapsed / SMOOTH_MS).exp();
+        for demand in &mut self.models {
+            demand.per_s *= keep;
+            demand.waiting = 0;
+            demand.running = 0;
+            demand.priority = u8::MAX;
+            demand.oldest_ms = 0;
+        }
+        let reports = std::mem::take(&mut self.reports);
+        for heard in &reports {
+            let age = now.since_ms(heard.at);
+            for line in &heard.report.demand {
+                let demand = self.entry(&line.model, now);
+                if line.waiting > 0 {
+                    demand.waiting += line.waiting;
+                    demand.priority = demand.priority.min(line.priority);
+                    demand.oldest_ms = demand.oldest_ms.max(line.oldest_ms + age);
+                }
+            }
+            for line in &heard.report.running {
+                if let Some(model) = &line.model {
+                    self.entry(model, now).running += line.count;
+                }
+            }
+        }
+        self.reports = reports;
+        for demand in &mut self.models {
+            demand.smooth_running = demand.smooth_running * keep + f64::from(demand.running) * (1.0 - keep);
+        }
+    }
+
+    /// All models asked for, sorted by name.
+    pub fn models(&self) -> &[ModelDemand] {
+        &self.models
+    }
+
+    /// The demand for a model.
+    pub fn get(&self, model: &ModelId) -> Option<&ModelDemand> {
+        let at = self.models.binary_search_by(|demand| demand.model.cmp(model)).ok()?;
+        self.models.get(at)
+    }
+
+    /// When an adapter was last asked for.
+    pub fn adapter_asked_at(&self, need: &ModelNeed) -> ClockTime {
+        let at = self.adapters.binary_search_by(|(known, _)| known.cmp(need));
+        at.ok().and_then(|at| self.adapters.get(at)).map_or(ClockTime::ZERO, |(_, asked)| *asked)
+    }
+
+    /// Adapters that requests wait for, the longest wait first.
+    pub fn waiting_adapters(&self, now: ClockTime) -> Vec<AdapterDemand> {
+        let mut waiting: Vec<AdapterDemand> = Vec::new();
+        for heard in &self.reports {
+            let age = now.since_ms(heard.at);
+            let lines = heard.report.demand.iter().filter(|line| line.waiting > 0 && line.adapter.is_some());
+            for line in lines {
+                let need = ModelNeed { model: line.model.clone(), adapter: line.adapter.clone() };
+                let oldest_ms = line.oldest_ms + age;
+                match waiting.iter_mut().find(|known| known.need == need) {
+                    Some(known) => known.oldest_ms = known.oldest_ms.max(oldest_ms),
+                    None => waiting.push(AdapterDemand { need, oldest_ms }),
+                }
+            }
+        }
+        waiting.sort_by(|left, right| right.oldest_ms.cmp(&left.oldest_ms));
+        waiting
+    }
+
+    /// Calls of the fleet for a model, or an adapter of it, at an upstream.
+    pub fn running_at(
+        &self,
+        upstream: &cowslip_units::UpstreamId,
+        model: &ModelId,
+        adapter: Option<&SmolStr>,
+    ) -> u32 {
+        let lines = self.reports.iter().flat_map(|heard| &heard.report.running);
+        let of_model = lines.filter(|line| line.upstream == *upstream && line.model.as_ref() == Some(model));
+        of_model
+            .filter(|line| adapter.is_none() || line.adapter.as_ref() == adapter)
+            .map(|line| line.count)
+            .sum()
+    }
+
+    /// Calls of the fleet at each upstream but for those of `except`, sorted by upstream.
+    pub fn running(&self, except: &str) -> Vec<crate::LoadLine> {
+        let mut lines: Vec<crate::LoadLine> = Vec::new();
+        let others = self.reports.iter().filter(|heard| heard.gateway != except);
+        for line in others.flat_map(|heard| &heard.report.running) {
+            match lines.binary_search_by(|known| known.upstream.cmp(&line.upstream)) {
+                Ok(at) => lines[at].count += line.count,
+                Err(at) => {
+                    lines.insert(at, crate::LoadLine { upstream: line.upstream.clone(), count: line.count });
+                }
+            }
+        }
+        lines
+    }
+}
+
+impl ModelDemand {
+    fn new(model: ModelId, now: ClockTime) -> Self {
+        Self {
+            model,
+            per_s: 0.0,
+            waiting: 0,
+            running: 0,
+            priority: u8::MAX,
+            oldest_ms: 0,
+            asked_at: now,
+            smooth_running: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -0,0 +1,212 @@
+//! One engine as the leader plans with it.
+
+use cowslip_units::{ClockTime, ModelId};
+use smol_str::SmolStr;
+
+use crate::{EngineAction, EngineRule, EngineStatus, HeldModel, ModelRule, UpstreamEntry};
+
+/// Where a model's weights lie for an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WeightTier {
+    /// In its host memory.
+    Memory,
+    /// On its disk.
+    Disk,
+    /// In the weight store only.
+    Store,
+}
+
+/// How far a change of an engine's models has come.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum TaskStage {
+    /// The next order is to be sent at the given time.
+    Send(ClockTime),
+    /// An order was sent.
+    Sent(EngineAction),
+    /// The engine loads; it should be done by the given time.
+    Loading(ClockTime),
+}
+
+/// A change of an engine's models: models make way, then one is loaded.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct EngineTask {
+    pub(crate) model: ModelId,
+    pub(crate) tier: WeightTier,
+    pub(crate) victims: Vec<ModelId>,
+    pub(crate) stage: TaskStage,
+    pub(crate) started_at: ClockTime,
+    pub(crate) conflicts: u32,
+}
+
+/// One engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedEngine {
+    /// Its entry, with what orders have changed since.
+    pub entry: UpstreamEntry,
+    /// When each held model was loaded, for those that the leader loaded.
+    pub(crate) loaded_at: Vec<(ModelId, ClockTime)>,
+    pub(crate) task: Option<EngineTask>,
+    /// Adapter order that was sent.
+    pub(crate) adapter_sent: Option<EngineAction>,
+    pub(crate) next_adapter_at: ClockTime,
+    /// When its status must be asked for; `None` when it is known.
+    pub(crate) ask_at: Option<ClockTime>,
+    pub(crate) asking: bool,
+    /// True once its status was read by this leader.
+    pub(crate) known: bool,
+    /// Adapters on their way, with the time at which they should be there.
+    pub(crate) pending: Vec<(ModelId, SmolStr, ClockTime)>,
+    /// True while its domain is evacuated or it drains.
+    pub(crate) closed: bool,
+}
+
+impl PlannedEngine {
+    pub(crate) fn new(entry: UpstreamEntry, now: ClockTime) -> Self {
+        Self {
+            entry,
+            loaded_at: Vec::new(),
+            task: None,
+            adapter_sent: None,
+            next_adapter_at: ClockTime::ZERO,
+            ask_at: Some(now),
+            asking: false,
+            known: false,
+            pending: Vec::new(),
+            closed: false,
+        }
+    }
+
+    /// Takes a newer entry; a new start begins anew.
+    pub(crate) fn update(&mut self, entry: UpstreamEntry, now: ClockTime) {
+        if entry.born != self.entry.born || entry.address != self.entry.address {
+            *self = Self::new(entry, now);
+            return;
+        }
+        let newer = entry.orders >= self.entry.orders;
+        self.entry.draining = entry.draining;
+        self.entry.cold_left_ms = entry.cold_left_ms;
+        if newer {
+            self.entry.in_memory = entry.in_memory;
+            self.entry.on_disk = entry.on_disk;
+            self.set_models(entry.models, entry.orders, now);
+        }
+    }
+
+    /// Takes the models that the engine says it holds after `orders` orders.
+    fn set_models(&mut self, models: Vec<HeldModel>, orders: u64, now: ClockTime) {
+        let loading = self.task.as_ref().map(|task| task.model.clone());
+        let arrived = loading.filter(|model| models.iter().any(|held| held.name == *model));
+        if let Some(model) = arrived {
+            self.task = None;
+            self.loaded_at.retain(|(known, _)| *known != model);
+            self.loaded_at.push((model, now));
+        }
+        if orders >= self.entry.orders {
+            let adapters = std::mem::take(&mut self.entry.models);
+            self.entry.models = models;
+            // An entry may be older than the adapters loaded since; they count until a status says otherwise.
+            for old in adapters {
+                if let Some(held) = self.entry.models.iter_mut().find(|held| held.name == old.name) {
+                    for adapter in old.adapters {
+                        if !held.adapters.contains(&adapter) {
+                            held.adapters.push(adapter);
+                        }
+                    }
+                }
+            }
+            self.entry.orders = orders;
+        }
+    }
+
+    /// Takes the engine's own status.
+    pub(crate) fn status(&mut self, status: EngineStatus, now: ClockTime) {
+        self.asking = false;
+        if status.born != self.entry.born || status.orders < self.entry.orders {
+            // Older than the last accepted order, or another start whose entry is yet to come.
+            self.ask_at = Some(now.plus_ms(STATUS_RETRY_MS));
+            return;
+        }
+        self.known = true;
+        self.ask_at = None;
+        self.entry.models.clear();
+        self.set_models(status.models, status.orders, now);
+        self.pending = status.pending.into_iter().map(|(model, name)| (model, name, now)).collect();
+        if status.busy {
+            if self.task.is_none()
+                || matches!(self.task, Some(EngineTask { stage: TaskStage::Loading(_), .. }))
+            {
+                self.ask_at = Some(now.plus_ms(BUSY_RETRY_MS));
+            }
+            return;
+        }
+        match self.task.as_mut() {
+            Some(task) if matches!(task.stage, TaskStage::Loading(_)) => self.task = None,
+            Some(task) if task.conflicts >= MAX_CONFLICTS => self.task = None,
+            Some(task) if matches!(task.stage, TaskStage::Send(_)) => task.stage = TaskStage::Send(now),
+            _ => {}
+        }
+    }
+
+    /// Adapters held and on their way.
+    pub fn adapter_count(&self) -> usize {
+        self.entry.models.iter().map(|held| held.adapters.len()).sum::<usize>() + self.pending.len()
+    }
+
+    /// Memory in MB that is taken, including what may still come of a load under way.
+    pub fn used_mb(&self, rule: &EngineRule) -> f64 {
+        let size = |model: &ModelId| rule.model(model).map_or(rule.memory_mb, |model| model.size_mb);
+        let adapters = |held: &HeldModel| {
+            rule.model(&held.name).map_or(0.0, |model| model.adapter_mb * held.adapters.len() as f64)
+        };
+        let held: f64 = self.entry.models.iter().map(|held| size(&held.name) + adapters(held)).sum();
+        let coming: f64 = self
+            .pending
+            .iter()
+            .map(|(model, ..)| rule.model(model).map_or(0.0, |model| model.adapter_mb))
+            .sum();
+        held + coming
+    }
+
+    /// Where a model's weights lie.
+    pub fn tier(&self, model: &ModelId) -> WeightTier {
+        if self.entry.in_memory.contains(model) {
+            WeightTier::Memory
+        } else if self.entry.on_disk.contains(model) {
+            WeightTier::Disk
+        } else {
+            WeightTier::Store
+        }
+    }
+
+    /// True when it may get orders about models.
+    pub(crate) fn is_free(&self) -> bool {
+        self.known
+            && self.task.is_none()
+            && self.ask_at.is_none()
+            && !self.closed
+            && self.adapter_sent.is_none()
+    }
+
+    pub(crate) fn loaded_since(&self, model: &ModelId, now: ClockTime) -> u64 {
+        let at = self.loaded_at.iter().find(|(known, _)| known == model);
+        at.map_or(u64::MAX, |(_, at)| now.since_ms(*at))
+    }
+}
+
+/// Time in ms until the status is asked for again after one that was too old.
+const STATUS_RETRY_MS: u64 = 120;
+
+/// Time in ms until the status of a busy engine is asked for again.
+const BUSY_RETRY_MS: u64 = 400;
+
+/// Conflicts after which a change is given up once the engine is idle.
+pub(crate) const MAX_CONFLICTS: u32 = 6;
+
+/// Time in ms that a load takes from a tier.
+pub(crate) fn load_ms(rule: &ModelRule, tier: WeightTier) -> u64 {
+    match tier {
+        WeightTier::Memory => rule.memory_ms,
+        WeightTier::Disk => rule.disk_ms,
+        WeightTier::Store => rule.store_ms,
+    }
+}
--- /dev/null
+++ b/crates/cowslip-entry/src/token_purse.rs
@@ -0,0 +1,134 @@
+//! The tokens of a team that a gateway may spend.
+//!
+//! The leader grants tokens for a short time; what is not spent by then goes back to it. A gateway that has not heard
+//! from a leader spends its part of the team's rate without burst, and the leader leaves that part ungranted.
+
+use cowslip_fleet::{TokenBucket, TokenShare};
+use cowslip_units::{ClockTime, TokenCount};
+
+/// Time in ms for which a grant may be spent. The window of the limit is longer by this much at worst.
+pub const GRANT_MS: u64 = 700;
+
+/// Time in ms without an answer from a leader after which a gateway spends its own part.
+pub const ALONE_AFTER_MS: u64 = 1_500;
+
+/// Time in ms over which the need of the next moments is estimated.
+const AHEAD_MS: u64 = 400;
+
+/// Thousandths in a token.
+const MILLI: u64 = 1_000;
+
+/// What a reservation came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PurseStep {
+    /// The tokens are taken.
+    Taken,
+    /// So many tokens are missing.
+    Short(u64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct GrantLeft {
+    amount: u64,
+    until: ClockTime,
+}
+
+/// One team's tokens at a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TokenPurse {
+    grants: Vec<GrantLeft>,
+    returned: u64,
+    spent_recently: f64,
+    decayed_at: ClockTime,
+    own: TokenBucket,
+}
+
+impl TokenPurse {
+    /// An empty purse.
+    pub fn new(now: ClockTime) -> Self {
+        let own = TokenBucket::new(TokenShare::default(), now);
+        Self { grants: Vec::new(), returned: 0, spent_recently: 0.0, decayed_at: now, own }
+    }
+
+    /// Sets the own part of the team's rate, which is spent without a leader.
+    pub fn set_own_part(&mut self, per_s: u64, members: usize, now: ClockTime) {
+        let members = members.max(1) as u64;
+        let rate_milli = per_s * MILLI / members;
+        let share = TokenShare { rate_milli, cap_milli: rate_milli.saturating_mul(2) };
+        if self.own.share() != share {
+            self.own.set_share(share, now);
+        }
+    }
+
+    fn expire(&mut self, now: ClockTime) {
+        let lapsed = |grant: &GrantLeft| grant.until <= now;
+        self.returned +=
+            self.grants.iter().filter(|grant| lapsed(grant)).map(|grant| grant.amount).sum::<u64>();
+        self.grants.retain(|grant| !lapsed(grant));
+    }
+
+    /// Granted tokens that are left.
+    pub fn left(&mut self, now: ClockTime) -> u64 {
+        self.expire(now);
+        self.level()
+    }
+
+    fn level(&self) -> u64 {
+        self.grants.iter().map(|grant| grant.amount).sum()
+    }
+
+    fn decay(&mut self, now: ClockTime) {
+        let elapsed = now.since_ms(self.decayed_at) as f64;
+        self.spent_recently *= (-elapsed / 1_000.0).exp();
+        self.decayed_at = now;
+    }
+
+    /// Takes `amount` for a request; `alone` when no leader has answered for long.
+    pub fn reserve(&mut self, amount: u64, alone: bool, now: ClockTime) -> PurseStep {
+        self.expire(now);
+        let level = self.level();
+        if level < amount {
+            if alone && self.own.take(TokenCount::new(amount), now) {
+                return PurseStep::Taken;
+            }
+            return PurseStep::Short(amount - level);
+        }
+        let mut rest = amount;
+        for grant in &mut self.grants {
+            let taken = grant.amount.min(rest);
+            grant.amount -= taken;
+            rest -= taken;
+        }
+        self.grants.retain(|grant| grant.amount > 0);
+        self.decay(now);
+        self.spent_recently += amount as f64;
+        PurseStep::Taken
+    }
+
+    /// The leader granted `amount` in answer to a report that was sent at `sent_at`.
+    pub fn granted(&mut self, amount: u64, sent_at: ClockTime, now: ClockTime) {
+        if amount == 0 {
+            return;
+        }
+        self.grants.push(GrantLeft { amount, until: sent_at.plus_ms(GRANT_MS) });
+        self.expire(now);
+    }
+
+    /// Tokens of a request that did not run.
+    pub fn give_back(&mut self, amount: u64) {
+        self.returned += amount;
+    }
+
+    /// Tokens wanted for the next moments, beyond what is there.
+    pub fn ahead(&mut self, now: ClockTime) -> u64 {
+        self.decay(now);
+        self.expire(now);
+        let wanted = self.spent_recently * AHEAD_MS as f64 / 1_000.0;
+        (wanted as u64).saturating_sub(self.level())
+    }
+
+    /// Tokens to give back with the next report.
+    pub fn take_returned(&mut self) -> u64 {
+        std::mem::take(&mut self.returned)
+    }
+}
--- /dev/null
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -0,0 +1,312 @@
+//! The upstreams that a gateway knows, and the choice among them.
+//!
+//! Load this answers: many gateways choose at the same time from knowledge that is up to a report old. Ties are broken
+//! by a hash of the request's session and the upstream, so that they do not all follow one stale figure, and requests
+//! of one session meet at the engine that has their prompt cached.
+
+use cowslip_units::{ClockTime, DomainId, ServiceId, UpstreamId};
+use smol_str::SmolStr;
+
+use crate::{
+    AdapterPlace, ColdLimit, KnownUpstream, LoadLine, ModelNeed, RequestNeed, ServiceRule, UpstreamEntry,
+    pair_weight, rank_of,
+};
+
+/// Time in ms for which entries that vanished with the store's trouble stay in use.
+pub const LAPSE_HOLD_MS: u64 = 2_500;
+
+/// Calls that being in another failure domain weighs as much as; bytes between domains cost money.
+const DOMAIN_WEIGHT: f64 = 1.5;
+
+/// Calls that not being the session's preferred engine weighs as much as.
+const SESSION_WEIGHT: f64 = 2.0;
+
+/// Calls that a constant share of failures weighs as much as.
+const FAILURE_WEIGHT: f64 = 24.0;
+
+/// Latency in ms assumed for a plain upstream that has not answered yet.
+const FIRST_LATENCY_MS: f64 = 20.0;
+
+/// Tokens of a typical request; bounds how many run at once in an engine's memory.
+const TYPICAL_TOKENS: u64 = 1_700;
+
+/// Requests beyond its slots that a plain upstream may queue.
+const QUEUE_SLACK: u32 = 2;
+
+/// Why no upstream can be chosen now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitCause {
+    /// The service has no upstream that may get work.
+    NoUpstream,
+    /// No upstream holds the model.
+    NoModel,
+    /// Upstreams hold the model but not the adapter.
+    NoAdapter,
+    /// Those that hold it are unreachable or failing.
+    Unsound,
+    /// Those that could take it are cold; one may be sent to after so many ms.
+    Cold(u64),
+    /// All have as many calls as they run at once.
+    Full,
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamPick {
+    /// Send there.
+    Send(UpstreamId),
+    /// Wait.
+    Wait(WaitCause),
+}
+
+/// What a choice takes into account beside the request.
+#[derive(Clone, Debug)]
+pub struct PickScope<'a> {
+    /// The service's rule.
+    pub service: &'a ServiceRule,
+    /// The gateway's own domain.
+    pub domain: &'a DomainId,
+    /// Tells whether a domain is evacuated.
+    pub evacuated: &'a [DomainId],
+    /// Domains with their regions, sorted.
+    pub regions: &'a [(DomainId, SmolStr)],
+    /// Upstreams that the request was sent to before.
+    pub tried: &'a [UpstreamId],
+    /// The gateway's name.
+    pub own: &'a str,
+    /// Names of all gateways.
+    pub members: &'a [SmolStr],
+    /// The limit on cold upstreams.
+    pub cold: ColdLimit,
+}
+
+/// All known upstreams, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamBook {
+    upstreams: Vec<KnownUpstream>,
+}
+
+impl UpstreamBook {
+    /// An empty book.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn find(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.upstreams.binary_search_by(|upstream| upstream.entry.id.cmp(id))
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> &[KnownUpstream] {
+        &self.upstreams
+    }
+
+    /// The upstream of that id.
+    pub fn get(&self, id: &UpstreamId) -> Option<&KnownUpstream> {
+        self.upstreams.get(self.find(id).ok()?)
+    }
+
+    /// The upstream of that id, to take note of a call.
+    pub fn get_mut(&mut self, id: &UpstreamId) -> Option<&mut KnownUpstream> {
+        let at = self.find(id).ok()?;
+        self.upstreams.get_mut(at)
+    }
+
+    /// Takes a new or newer entry; true when the upstream was not known.
+    pub fn put(&mut self, entry: UpstreamEntry, now: ClockTime) -> bool {
+        match self.find(&entry.id) {
+            Ok(at) => {
+                if let Some(known) = self.upstreams.get_mut(at) {
+                    known.update(entry, now);
+                }
+                false
+            }
+            Err(at) => {
+                self.upstreams.insert(at, KnownUpstream::new(entry, now));
+                true
+            }
+        }
+    }
+
+    /// An entry is gone. With `hold`, it may have lapsed with the store and stays in use for a while.
+    pub fn remove(&mut self, id: &UpstreamId, hold: bool, now: ClockTime) {
+        let Ok(at) = self.find(id) else { return };
+        if hold {
+            if let Some(known) = self.upstreams.get_mut(at) {
+                known.removed_at = known.removed_at.or(Some(now));
+            }
+        } else {
+            self.upstreams.remove(at);
+        }
+    }
+
+    /// Forgets entries whose hold is over. While the store is still in trouble the hold goes on.
+    pub fn expire(&mut self, trouble_until: Option<ClockTime>, now: ClockTime) -> Vec<UpstreamId> {
+        let over = |known: &KnownUpstream| {
+            let since = known.removed_at.map(|at| trouble_until.map_or(at, |until| at.max(until)));
+            since.is_some_and(|at| now.since_ms(at) >= LAPSE_HOLD_MS)
+        };
+        let gone =
+            self.upstreams.iter().filter(|known| over(known)).map(|known| known.entry.id.clone()).collect();
+        self.upstreams.retain(|known| !over(known));
+        gone
+    }
+
+    /// The upstreams of a domain may have become cold.
+    pub fn mark_cold(&mut self, domain: &DomainId, services: &[ServiceRule], now: ClockTime) {
+        for known in self.upstreams.iter_mut().filter(|known| known.entry.domain == *domain) {
+            let rule = services.iter().find(|rule| rule.name == known.entry.service);
+            let cold_ms = rule.map_or(0, |rule| rule.cold_ms);
+            known.cold_until = known.cold_until.max(now.plus_ms(cold_ms));
+        }
+    }
+
+    /// Takes the fleet's calls and adapters from the leader's answer.
+    pub fn told(
+        &mut self,
+        running: &[LoadLine],
+        adapters: &[AdapterPlace],
+        leaving: &[(UpstreamId, cowslip_units::ModelId)],
+    ) {
+        for known in &mut self.upstreams {
+            let id = &known.entry.id;
+            let line = running.iter().find(|line| line.upstream == *id);
+            known.others = line.map_or(0, |line| line.count);
+            let held = adapters.iter().filter(|place| place.upstream == *id);
+            known.adapters = held.map(|place| (place.model.clone(), place.adapter.clone())).collect();
+            let models = leaving.iter().filter(|(upstream, _)| upstream == id);
+            known.leaving = models.map(|(_, model)| model.clone()).collect();
+        }
+    }
+
+    /// True when some usable upstream of the service exists.
+    pub fn serves(&self, service: &ServiceId) -> bool {
+        self.upstreams.iter().any(|known| known.entry.service == *service && !known.entry.draining)
+    }
+
+    /// Chooses an upstream for a request.
+    pub fn pick(&self, need: &RequestNeed, scope: &PickScope<'_>, now: ClockTime) -> UpstreamPick {
+        let mut cause = WaitCause::NoUpstream;
+        let mut best: Option<(f64, &KnownUpstream)> = None;
+        let preferred = self.preferred(need, scope, now);
+        for known in &self.upstreams {
+            match self.barrier(known, need, scope, now) {
+                Some(barrier) => cause = nearer(cause, barrier),
+                None => {
+                    let cost = cost(known, need, scope, preferred);
+                    let cheaper = best.is_none_or(|(least, _)| cost < least);
+                    if cheaper {
+                        best = Some((cost, known));
+                    }
+                }
+            }
+        }
+        match best {
+            Some((_, known)) => UpstreamPick::Send(known.entry.id.clone()),
+            None => UpstreamPick::Wait(cause),
+        }
+    }
+
+    /// The engine that the session's requests prefer, among those that hold the model.
+    fn preferred(&self, need: &RequestNeed, scope: &PickScope<'_>, now: ClockTime) -> u64 {
+        let holders =
+            self.upstreams.iter().filter(|known| usable(known, need, scope) && holds(known, need, now));
+        let ranked = holders.max_by_key(|known| pair_weight(need.affinity, known.hash));
+        ranked.map_or(0, |known| known.hash)
+    }
+
+    fn barrier(
+        &self,
+        known: &KnownUpstream,
+        need: &RequestNeed,
+        scope: &PickScope<'_>,
+        now: ClockTime,
+    ) -> Option<WaitCause> {
+        if !usable(known, need, scope) {
+            return Some(WaitCause::NoUpstream);
+        }
+        if !holds(known, need, now) {
+            let base = need.model.as_ref().is_some_and(|model| known.holds(&base_of(model), now));
+            return Some(if base { WaitCause::NoAdapter } else { WaitCause::NoModel });
+        }
+        if !known.is_sound(now) || scope.tried.contains(&known.entry.id) {
+            return Some(WaitCause::Unsound);
+        }
+        if known.is_cold(now) && scope.service.cold_per_s > 0.0 {
+            let rank = rank_of(known.hash, scope.own, scope.members);
+            let members = scope.members.len().max(1);
+            match known.cold_gate.wait_ms(scope.cold, scope.service.cold_per_s, rank, members, now) {
+                Some(0) => {}
+                Some(wait_ms) => return Some(WaitCause::Cold(wait_ms)),
+                None => return Some(WaitCause::Cold(known.cold_until.since_ms(now))),
+            }
+        }
+        (known.total() >= most_calls(known, scope.service)).then_some(WaitCause::Full)
+    }
+}
+
+/// The model of a need without its adapter.
+fn base_of(need: &ModelNeed) -> ModelNeed {
+    ModelNeed { model: need.model.clone(), adapter: None }
+}
+
+fn holds(known: &KnownUpstream, need: &RequestNeed, now: ClockTime) -> bool {
+    need.model.as_ref().is_none_or(|model| known.holds(model, now))
+}
+
+fn usable(known: &KnownUpstream, need: &RequestNeed, scope: &PickScope<'_>) -> bool {
+    let entry = &known.entry;
+    if entry.service != need.service || entry.draining || scope.evacuated.contains(&entry.domain) {
+        return false;
+    }
+    if need.regions.is_empty() {
+        return true;
+    }
+    let region = scope.regions.iter().find(|(domain, _)| *domain == entry.domain);
+    region.is_some_and(|(_, region)| need.regions.contains(region))
+}
+
+/// Most calls of the fleet that an upstream gets.
+fn most_calls(known: &KnownUpstream, service: &ServiceRule) -> u32 {
+    match &service.engine {
+        Some(engine) => {
+            let by_memory = u32::try_from(engine.kv_tokens / TYPICAL_TOKENS).unwrap_or(u32::MAX);
+            known.entry.slots.min(by_memory).max(1)
+        }
+        None => known.entry.slots + QUEUE_SLACK,
+    }
+}
+
+fn cost(known: &KnownUpstream, need: &RequestNeed, scope: &PickScope<'_>, preferred: u64) -> f64 {
+    let domain = if known.entry.domain == *scope.domain { 0.0 } else { DOMAIN_WEIGHT };
+    let failure = FAILURE_WEIGHT * known.failure_share;
+    let spread = (pair_weight(need.affinity, known.hash) >> 40) as f64 / (1u64 << 24) as f64;
+    let calls = f64::from(known.total());
+    match &scope.service.engine {
+        Some(_) => {
+            let session = if known.hash == preferred { 0.0 } else { SESSION_WEIGHT };
+            calls + domain + failure + session + spread
+        }
+        None => {
+            let latency = if known.latency_ms > 0.0 { known.latency_ms } else { FIRST_LATENCY_MS };
+            (calls + 1.0 + failure + spread) * latency
+        }
+    }
+}
+
+/// The cause that is nearer to being served.
+fn nearer(left: WaitCause, right: WaitCause) -> WaitCause {
+    let rank = |cause: &WaitCause| match cause {
+        WaitCause::NoUpstream => 0,
+        WaitCause::NoModel => 1,
+        WaitCause::NoAdapter => 2,
+        WaitCause::Unsound => 3,
+        WaitCause::Cold(_) => 4,
+        WaitCause::Full => 5,
+    };
+    match (left, right) {
+        (WaitCause::Cold(left), WaitCause::Cold(right)) => WaitCause::Cold(left.min(right)),
+        (left, right) if rank(&right) > rank(&left) => right,
+        (left, _) => left,
+    }
+}
--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -3,10 +3,7 @@
 use cowslip_platform::{PlatformError, RowValue, TableTransaction, TransactionOutcome};
 use cowslip_units::{ClockTime, FenceNumber};
 
-use crate::{
-    LEASE_EPOCH_PREFIX, LEASE_KEY, LEASE_POLL_MS, LEASE_RENEW_MS, LEASE_RETRY_MS, LEASE_TAKEOVER_MS,
-    LEASE_VALID_MS, LeaseHolder, LeaseRow, epoch_key,
-};
+use crate::{LEASE_EPOCH_PREFIX, LEASE_KEY, LeaseHolder, LeaseRow, LeaseTimes, epoch_key};
 
 /// What a controller does next about the lease.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,6 +49,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeaderLease {
     own: LeaseHolder,
+    times: LeaseTimes,
     role: LeaseRole,
     seen: Option<SeenRow>,
     sent: Option<SentWrite>,
@@ -61,6 +59,8 @@
     step_at: ClockTime,
     next_at: ClockTime,
     highest_epoch: FenceNumber,
+    /// When the row of the holder before was first seen; its last renewal was sent before that.
+    taken_from: Option<ClockTime>,
 }
 
 impl LeaderLease {
@@ -68,6 +68,7 @@
     pub fn new(own: LeaseHolder) -> Self {
         Self {
             own,
+            times: LeaseTimes::default(),
             role: LeaseRole::Candidate,
             seen: None,
             sent: None,
@@ -75,14 +76,30 @@
             step_at: ClockTime::ZERO,
             next_at: ClockTime::ZERO,
             highest_epoch: FenceNumber::ZERO,
+            taken_from: None,
         }
     }
 
+    /// Sets the times, which must be the same for all candidates.
+    #[must_use]
+    pub fn with_times(mut self, times: LeaseTimes) -> Self {
+        self.times = times;
+        self
+    }
+
+    /// The time until which an earlier holder may have acted, as far as the row tells; `None` when no one held the
+    /// lease before the epoch of this process.
+    pub fn earlier_until(&self, now: ClockTime) -> Option<ClockTime> {
+        let seen = self.seen.as_ref()?;
+        let first = seen.row.epoch.get() <= 1;
+        (!first).then(|| self.taken_from.map_or(now, |since| since.plus_ms(self.times.valid_ms)))
+    }
+
     /// The epoch in which this process may act as leader now; `None` when it must not act.
     pub fn epoch(&self, now: ClockTime) -> Option<FenceNumber> {
         let from = self.valid_from.filter(|_| self.role == LeaseRole::Holder)?;
         let row = &self.seen.as_ref()?.row;
-        (now.since_ms(from) < LEASE_VALID_MS).then_some(row.epoch)
+        (now.since_ms(from) < self.times.valid_ms).then_some(row.epoch)
     }
 
     /// True while this process may act as leader.
@@ -147,7 +164,7 @@
     }
 
     fn may_take(&self, seen: &SeenRow, now: ClockTime) -> bool {
-        seen.row.holder.is_none() || now.since_ms(seen.since) >= LEASE_TAKEOVER_MS
+        seen.row.holder.is_none() || now.since_ms(seen.since) >= self.times.takeover_ms
     }
 
     fn commit(&mut self, seen: &SeenRow, holder: Option<LeaseHolder>, epoch: FenceNumber) -> LeaseStep {
@@ -176,7 +193,7 @@
     pub fn read_answered(&mut self, result: &Result<Option<RowValue>, PlatformError>, now: ClockTime) {
         match result {
             Ok(row) => self.observe(row.as_ref(), now),
-            Err(_) => self.next_at = now.plus_ms(LEASE_RETRY_MS),
+            Err(_) => self.next_at = now.plus_ms(self.times.retry_ms),
         }
     }
 
@@ -206,7 +223,7 @@
                 if let Some(sent) = self.sent.as_mut() {
                     sent.in_doubt |= error.in_doubt();
                 }
-                self.next_at = now.plus_ms(LEASE_RETRY_MS);
+                self.next_at = now.plus_ms(self.times.retry_ms);
             }
         }
     }
@@ -224,6 +241,10 @@
         let same = self.seen.as_ref().filter(|seen| seen.row_version == row_version);
         let since = same.map_or(now, |seen| seen.since);
         let own = row.holder.as_ref() == Some(&self.own);
+        if own && self.role == LeaseRole::Candidate {
+            // A released row says that its holder had stopped by the time it was first seen.
+            self.taken_from = self.seen.as_ref().map(|seen| seen.since);
+        }
         if own {
             self.hold(&row);
         } else {
@@ -232,7 +253,7 @@
         self.seen = Some(SeenRow { row_version, row, since });
         self.next_at = match self.role {
             LeaseRole::Holder => {
-                let renewed = self.valid_from.unwrap_or_default().plus_ms(LEASE_RENEW_MS);
+                let renewed = self.valid_from.unwrap_or_default().plus_ms(self.times.renew_ms);
                 renewed.max(self.step_at)
             }
             LeaseRole::Candidate => self.candidate_at(now),
@@ -241,10 +262,10 @@
     }
 
     fn candidate_at(&self, now: ClockTime) -> ClockTime {
-        let poll = self.step_at.plus_ms(LEASE_POLL_MS);
+        let poll = self.step_at.plus_ms(self.times.poll_ms);
         match &self.seen {
             Some(seen) if seen.row.holder.is_none() => now,
-            Some(seen) => poll.min(seen.since.plus_ms(LEASE_TAKEOVER_MS)).max(now),
+            Some(seen) => poll.min(seen.since.plus_ms(self.times.takeover_ms)).max(now),
             None => poll,
         }
     }
--- /dev/null
+++ b/crates/cowslip-gateway/src/caller_server.rs
@@ -0,0 +1,165 @@
+//! Listens for callers, for the platform's questions, and for other gateways.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslip_adapter::header_names::READY_PATH;
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::warn;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::answer_body::AnswerBody;
+use crate::gateway_state::Gateway;
+use crate::request_flow::serve_request;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Pause in ms after a failed accept.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Age in ms of the view beyond which a gateway takes no new connections.
+const READY_AGE_MS: u64 = 3_000;
+
+/// Listens at an address that a process before may just have used.
+///
+/// # Errors
+/// [`io::Error`] when the address cannot be bound.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers until the process ends.
+pub(crate) async fn serve_callers(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_caller(Arc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                warn!(gateway.logger, "accept_failed"; "error" => %error);
+                gateway.clock.sleep_ms(ACCEPT_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        warn!(gateway.logger, "socket_option_failed"; "error" => %error);
+    }
+    let limits = gateway.lock().view.config().map(|config| config.limits()).unwrap_or_default();
+    let mut closing = gateway.closing.subscribe();
+    let server = Arc::clone(&gateway);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let gateway = Arc::clone(&server);
+        async move { Ok::<_, Infallible>(answer_caller(&gateway, request).await) }
+    });
+    // The library's header timeout also bounds the time between two requests, so it is the longer idle time.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_buf_size((limits.header_bytes * 2).max(16_384))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut closed = false;
+    loop {
+        tokio::select! {
+            // A caller that breaks off ends its own connection; there is no one left to tell.
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|closing| *closing), if !closed => {
+                closed = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+async fn answer_caller(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    gateway.lock().active += 1;
+    let active = ActiveRequest { gateway: Arc::clone(gateway) };
+    let mut response = serve_request(gateway, request).await;
+    drop(active);
+    if gateway.lock().stopping {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Counts a request for as long as it is handled.
+struct ActiveRequest {
+    gateway: Arc<Gateway>,
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.gateway.lock().active -= 1;
+    }
+}
+
+/// Answers the platform's question whether this gateway is ready, and serves metrics.
+pub(crate) async fn serve_status(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            gateway.clock.sleep_ms(ACCEPT_PAUSE_MS).await;
+            continue;
+        };
+        let server = Arc::clone(&gateway);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let gateway = Arc::clone(&server);
+            async move { Ok::<_, Infallible>(status_answer(&gateway, request.uri().path())) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // Whoever asks and leaves needs no answer.
+            drop(connection.await);
+        });
+    }
+}
+
+fn status_answer(gateway: &Gateway, path: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(""));
+    match path {
+        READY_PATH => {
+            if !is_ready(gateway) {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+        }
+        "/metrics" => {
+            fill_gauges(gateway);
+            *response.body_mut() = AnswerBody::whole(gateway.metrics.text());
+            let value = HeaderValue::from_static("text/plain; version=1.0.0");
+            response.headers_mut().insert(CONTENT_TYPE, value);
+        }
+        _ => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
+
+fn fill_gauges(gateway: &Gateway) {
+    let now = gateway.now();
+    let state = gateway.lock();
+    let age_ms = state.view.age_ms(now).map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+    gateway.metrics.view_age_ms.set(age_ms);
+    gateway.metrics.waiting.set(i64::try_from(state.waiting.len()).unwrap_or(i64::MAX));
+    gateway.metrics.running.set(i64::from(state.active));
+}
+
+/// True when new connections may come: the view is fresh, and the gateway is not stopping.
+pub(crate) fn is_ready(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let state = gateway.lock();
+    let fresh = state.view.age_ms(now).is_some_and(|age| age < READY_AGE_MS);
+    fresh && state.upstreams_known && !state.stopping
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -0,0 +1,411 @@
+//! Waits for an upstream, sends, and decides what follows a failed send.
+//!
+//! A request that is not repeatable is sent again only when nothing of it was written, or when the upstream said that
+//! it did not run it. Everything else is answered with 502 or 504, which promise nothing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslip_entry::{ModelNeed, RequestNeed, RouteKind, UpstreamPick, WaitCause, WaitLimit, text_hash};
+use cowslip_units::{ClockTime, ErrorKind, ServiceId, UpstreamId};
+use http::Response;
+use slog::{info, warn};
+use tokio::time::timeout;
+
+use crate::answer_body::AnswerBody;
+use crate::gateway_metrics::OutcomeLabels;
+use crate::gateway_state::Gateway;
+use crate::plain_call::plain_call;
+use crate::request_context::{AdmittedRequest, RequestContext, admit};
+use crate::request_flow::kind_name;
+use crate::request_refusal::RequestRefusal;
+use crate::stream_relay::stream_call;
+
+/// Sends of one request that upstreams refused unrun, beyond those that the route allows to run.
+const EXTRA_SENDS: u32 = 3;
+
+/// Upstreams that could not be reached for one request at most.
+const MAX_UNREACHED: u32 = 8;
+
+/// Longest pause in ms between two looks for an upstream.
+const LOOK_MS: u64 = 150;
+
+/// Time in ms that a request waits while no upstream of its service is known.
+const NO_UPSTREAM_MS: u64 = 1_500;
+
+/// Time in ms reckoned for a load that the leader has not begun.
+const UNKNOWN_LOAD_MS: u64 = 1_000;
+
+/// How a send ended.
+#[derive(Debug)]
+pub(crate) enum SendOutcome {
+    /// The caller's answer.
+    Answered(Response<AnswerBody>),
+    /// The upstream's failure, which is passed on unless the request can be repeated.
+    Failure(Response<AnswerBody>),
+    /// Nothing was written.
+    NotSent,
+    /// The upstream said that it did not run it; true when it does not hold the model or is another one.
+    NotRun(bool),
+    /// It may have run and has no answer.
+    Lost(ErrorKind),
+}
+
+impl SendOutcome {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Failure(_) => "failure",
+            Self::NotSent => "not_sent",
+            Self::NotRun(true) => "misplaced",
+            Self::NotRun(false) => "not_run",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
+/// A request on its way, with what was tried.
+#[derive(Debug)]
+pub(crate) struct RequestFlight {
+    /// What it needs.
+    pub need: RequestNeed,
+    /// Its limits.
+    pub limit: WaitLimit,
+    /// Upstreams that it was sent to and that did not serve it.
+    pub tried: Vec<UpstreamId>,
+    /// Sends that may have run.
+    pub runs: u32,
+    /// Sends that upstreams refused.
+    pub refused: u32,
+    /// Upstreams that could not be reached.
+    pub unreached: u32,
+    /// Last event that the caller has, when a stream is resumed.
+    pub last_event: Option<smol_str::SmolStr>,
+}
+
+/// Counts a call at an upstream for as long as it runs.
+#[derive(Debug)]
+pub(crate) struct CallGuard {
+    gateway: Arc<Gateway>,
+    upstream: UpstreamId,
+    model: Option<ModelNeed>,
+}
+
+impl CallGuard {
+    /// Counts a call that begins.
+    pub(crate) fn new(gateway: &Arc<Gateway>, upstream: &UpstreamId, model: Option<&ModelNeed>) -> Self {
+        gateway.lock().begin_call(upstream, model);
+        Self { gateway: Arc::clone(gateway), upstream: upstream.clone(), model: model.cloned() }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        let mut state = self.gateway.lock();
+        state.end_call(&self.upstream, self.model.as_ref());
+        let waits = !state.waiting.is_empty();
+        drop(state);
+        if waits {
+            self.gateway.changed.notify_waiters();
+        }
+    }
+}
+
+/// A place in the list of waiting requests.
+struct WaitTicket {
+    gateway: Arc<Gateway>,
+    ticket: u64,
+}
+
+impl Drop for WaitTicket {
+    fn drop(&mut self) {
+        self.gateway.lock().end_wait(self.ticket);
+    }
+}
+
+/// Dispatches a request until it is answered or refused.
+pub(crate) async fn dispatch(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    admitted: AdmittedRequest,
+    limit: WaitLimit,
+) -> Result<Response<AnswerBody>, RequestRefusal> {
+    let draw = text_hash(&context.caller.attempt);
+    let service = admitted.route.target(draw).cloned();
+    let service = service.ok_or(RequestRefusal::new(ErrorKind::RouteNotFound))?;
+    let mut flight = RequestFlight {
+        need: request_need(context, &admitted, service, draw),
+        limit,
+        tried: Vec::new(),
+        runs: 0,
+        refused: 0,
+        unreached: 0,
+        last_event: None,
+    };
+    {
+        let now = gateway.now();
+        let mut state = gateway.lock();
+        if let Some(model) = &flight.need.model {
+            state.arrived(model);
+        }
+        let members = state.member_count(crate::FALLBACK_MEMBERS);
+        state.repeat_budget(&flight.need.service, now).request(gateway.settings.repeats, members);
+    }
+    let mut admitted = admitted;
+    loop {
+        let (chosen, checked) = choose(gateway, context, admitted, &mut flight).await?;
+        admitted = checked;
+        let guard = CallGuard::new(gateway, &chosen, flight.need.model.as_ref());
+        let outcome = match admitted.route.kind {
+            RouteKind::Streaming => stream_call(gateway, context, &admitted, &flight, &chosen, guard).await,
+            _ => plain_call(gateway, context, &admitted, &flight, &chosen, guard).await,
+        };
+        if let Some(response) = settle(gateway, context, &admitted, &mut flight, &chosen, outcome)? {
+            return Ok(response);
+        }
+    }
+}
+
+fn request_need(
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    service: ServiceId,
+    draw: u64,
+) -> RequestNeed {
+    let is_engine = admitted.config.service(&service).is_some_and(|service| service.engine.is_some());
+    let affinity = if context.caller.session.is_empty() { draw } else { text_hash(&context.caller.session) };
+    RequestNeed {
+        service,
+        model: context.caller.model.clone().filter(|_| is_engine),
+        affinity,
+        regions: admitted.route.regions.clone(),
+        tokens: context.caller.tokens.unwrap_or_default(),
+    }
+}
+
+/// Waits until an upstream may take the request.
+pub(crate) async fn choose(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    mut admitted: AdmittedRequest,
+    flight: &mut RequestFlight,
+) -> Result<(UpstreamId, AdmittedRequest), RequestRefusal> {
+    let begun_at = gateway.now();
+    let mut ticket: Option<WaitTicket> = None;
+    loop {
+        let notified = gateway.changed.notified();
+        let now = gateway.now();
+        let allowed = admitted.route.targets.iter().any(|target| target.service == flight.need.service);
+        if !allowed && let Some(service) = admitted.route.target(text_hash(&context.caller.attempt)) {
+            // The route was moved to another service while the request waited.
+            flight.need.service = service.clone();
+        }
+        let Some(service) = admitted.config.service(&flight.need.service) else {
+            return Err(RequestRefusal::new(ErrorKind::NoCapacity));
+        };
+        let unknown = match (&flight.need.model, &service.engine) {
+            (Some(need), Some(engine)) => engine.model(&need.model).is_none(),
+            _ => false,
+        };
+        if unknown {
+            return Err(RequestRefusal::new(ErrorKind::ModelNotFound));
+        }
+        let pick = gateway.lock().pick(&gateway.settings, service, &flight.need, &flight.tried, now);
+        let cause = match pick {
+            UpstreamPick::Send(upstream) => {
+                note_send(gateway, service.cold_per_s, &upstream, now);
+                gateway.metrics.wait_s.observe(now.since_ms(begun_at) as f64 / 1_000.0);
+                return Ok((upstream, admitted));
+            }
+            UpstreamPick::Wait(cause) => cause,
+        };
+        let held = ticket.get_or_insert_with(|| begin_wait(gateway, flight, &admitted, now));
+        if let Some(wait_ms) = too_long(gateway, flight, held.ticket, cause, begun_at, now) {
+            let retry_ms = flight.limit.retry_after_ms(wait_ms, now);
+            if gateway.may_log() {
+                info!(gateway.logger, "wait_given_up"; "request" => %context.caller.attempt,
+                    "cause" => format!("{cause:?}"), "waited_ms" => now.since_ms(begun_at),
+                    "model" => flight.need.model.as_ref().map(|need| need.model.to_string()),
+                    "expected_ms" => wait_ms, "runs" => flight.runs);
+            }
+            return Err(refusal_after(flight).with_retry_after(retry_ms));
+        }
+        let look_ms = match cause {
+            WaitCause::Cold(wait_ms) => wait_ms.clamp(1, LOOK_MS),
+            _ => LOOK_MS,
+        };
+        // A wake-up that comes too late only means another look.
+        let _ = timeout(Duration::from_millis(look_ms), notified).await;
+        admitted = match admit(gateway, context) {
+            Ok(admitted) => admitted,
+            Err(_) if flight.runs > 0 => return Err(refusal_after(flight)),
+            Err(refusal) => return Err(refusal),
+        };
+    }
+}
+
+/// The refusal of a request that can not be sent any more: one that may have run is not promised to be unrun.
+fn refusal_after(flight: &RequestFlight) -> RequestRefusal {
+    RequestRefusal::new(if flight.runs > 0 { ErrorKind::UpstreamFailed } else { ErrorKind::NoCapacity })
+}
+
+fn begin_wait(
+    gateway: &Arc<Gateway>,
+    flight: &RequestFlight,
+    admitted: &AdmittedRequest,
+    now: ClockTime,
+) -> WaitTicket {
+    let need = flight.need.model.clone();
+    let need = need.unwrap_or_else(|| ModelNeed { model: cowslip_units::ModelId::default(), adapter: None });
+    let ticket = gateway.lock().begin_wait(need, admitted.priority(), now);
+    WaitTicket { gateway: Arc::clone(gateway), ticket }
+}
+
+/// The time in ms that the request would have to wait, when that is too long.
+fn too_long(
+    gateway: &Gateway,
+    flight: &RequestFlight,
+    ticket: u64,
+    cause: WaitCause,
+    begun_at: ClockTime,
+    now: ClockTime,
+) -> Option<u64> {
+    let mut state = gateway.lock();
+    let unplaced = matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter) && flight.need.model.is_some();
+    if state.set_unplaced(ticket, unplaced) {
+        gateway.report_now.notify_one();
+    }
+    let model = flight.need.model.as_ref().map(|need| &need.model);
+    let arrival =
+        state.arrivals.iter().filter(|line| Some(&line.model) == model).map(|line| line.wait_ms).min();
+    drop(state);
+    let wait_ms = match cause {
+        WaitCause::NoModel => arrival.unwrap_or(0),
+        WaitCause::Cold(wait_ms) => wait_ms,
+        _ => 0,
+    };
+    if flight.limit.hopeless(wait_ms, now) || now >= flight.limit.give_up_at() {
+        return Some(if wait_ms == 0 { UNKNOWN_LOAD_MS } else { wait_ms });
+    }
+    let no_upstream = cause == WaitCause::NoUpstream && now.since_ms(begun_at) >= NO_UPSTREAM_MS;
+    no_upstream.then_some(UNKNOWN_LOAD_MS)
+}
+
+/// Takes note of a send to a cold upstream.
+fn note_send(gateway: &Gateway, cold_per_s: f64, upstream: &UpstreamId, now: ClockTime) {
+    let mut state = gateway.lock();
+    let members = state.members.len().max(1);
+    if let Some(known) = state.book.get_mut(upstream) {
+        known.breaker.sent(now);
+        if known.is_cold(now) {
+            known.cold_gate.sent(gateway.settings.cold, cold_per_s, members, now);
+        }
+    }
+}
+
+/// Decides what follows a send: the caller's answer, another send (`None`), or a refusal.
+fn settle(
+    gateway: &Gateway,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    flight: &mut RequestFlight,
+    upstream: &UpstreamId,
+    outcome: SendOutcome,
+) -> Result<Option<Response<AnswerBody>>, RequestRefusal> {
+    let now = gateway.now();
+    let kind = kind_name(admitted.route.kind);
+    let name = outcome.name();
+    gateway.metrics.sends.get_or_create(&OutcomeLabels { kind, outcome: name }).inc();
+    if !matches!(outcome, SendOutcome::Answered(_)) && gateway.may_log() {
+        warn!(gateway.logger, "send_failed"; "request" => %context.caller.attempt, "upstream" => %upstream,
+            "outcome" => name, "runs" => flight.runs, "refused" => flight.refused,
+            "after_ms" => now.since_ms(context.arrived_at));
+    }
+    match outcome {
+        SendOutcome::Answered(response) => {
+            if gateway.may_log() {
+                info!(gateway.logger, "request_answered"; "request" => %context.caller.attempt,
+                    "upstream" => %upstream, "status" => response.status().as_u16(),
+                    "team" => admitted.team.as_ref().map(|team| team.name.to_string()),
+                    "config" => admitted.config.version(), "after_ms" => now.since_ms(context.arrived_at));
+            }
+            gateway.metrics.requests.get_or_create(&OutcomeLabels { kind, outcome: "answered" }).inc();
+            Ok(Some(response))
+        }
+        SendOutcome::NotSent => {
+            if let Some(known) = gateway.lock().book.get_mut(upstream) {
+                known.unreachable(now);
+                known.breaker.undecided(now);
+            }
+            flight.unreached += 1;
+            if flight.unreached > MAX_UNREACHED { Err(refusal_after(flight)) } else { Ok(None) }
+        }
+        SendOutcome::NotRun(misplaced) => {
+            not_run(gateway, flight, upstream, misplaced, now);
+            flight.refused += 1;
+            let more = flight.refused <= EXTRA_SENDS && take_repeat(gateway, flight, now);
+            if more { Ok(None) } else { Err(refusal_after(flight)) }
+        }
+        SendOutcome::Failure(response) => {
+            flight.runs += 1;
+            if may_repeat(gateway, admitted, flight, now) {
+                flight.tried.push(upstream.clone());
+                return Ok(None);
+            }
+            Ok(Some(response))
+        }
+        SendOutcome::Lost(kind) => {
+            flight.runs += 1;
+            if let Some(known) = gateway.lock().book.get_mut(upstream) {
+                known.failed(now);
+            }
+            if may_repeat(gateway, admitted, flight, now) {
+                flight.tried.push(upstream.clone());
+                return Ok(None);
+            }
+            Err(RequestRefusal::new(kind))
+        }
+    }
+}
+
+fn not_run(
+    gateway: &Gateway,
+    flight: &RequestFlight,
+    upstream: &UpstreamId,
+    misplaced: bool,
+    now: ClockTime,
+) {
+    let mut state = gateway.lock();
+    let Some(known) = state.book.get_mut(upstream) else { return };
+    known.breaker.undecided(now);
+    match (&flight.need.model, misplaced) {
+        (Some(need), _) => known.refused_model(need, now),
+        // Another upstream has the address.
+        (None, true) => known.unreachable(now),
+        // It is full.
+        (None, false) => known.others = known.entry.slots,
+    }
+}
+
+/// True when a request that may have run is sent again.
+pub(crate) fn may_repeat(
+    gateway: &Gateway,
+    admitted: &AdmittedRequest,
+    flight: &RequestFlight,
+    now: ClockTime,
+) -> bool {
+    admitted.route.repeatable()
+        && flight.runs < admitted.route.max_attempts
+        && now < flight.limit.give_up_at()
+        && take_repeat(gateway, flight, now)
+}
+
+fn take_repeat(gateway: &Gateway, flight: &RequestFlight, now: ClockTime) -> bool {
+    let mut state = gateway.lock();
+    let members = state.member_count(crate::FALLBACK_MEMBERS);
+    let taken = state.repeat_budget(&flight.need.service, now).take(gateway.settings.repeats, members, now);
+    if taken {
+        gateway.metrics.repeats.inc();
+    }
+    taken
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/gateway_log.rs
@@ -0,0 +1,58 @@
+//! Logs of the gateway: JSON lines on standard output, bounded in volume, written by a thread of their own.
+//!
+//! A line that finds the queue full is dropped and counted; the loop that serves requests never waits for a reader.
+//! Beyond [`LINES_PER_S`] lines a second, lines about single requests are left out and their number is logged.
+
+use std::io::stdout;
+use std::sync::Mutex;
+
+use cowslip_runtime::LineBuffer;
+use cowslip_units::ClockTime;
+use slog::{Drain, Logger, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+
+/// Lines that wait for the reader at most.
+const QUEUE_LINES: usize = 2_048;
+
+/// Lines about requests a second.
+pub const LINES_PER_S: u64 = 400;
+
+/// A logger, with the guard that writes what is queued when it is dropped.
+pub fn gateway_logger(vm: &str) -> (Logger, AsyncGuard) {
+    let drain = slog_json::Json::default(LineBuffer::new(stdout()));
+    let drain = Mutex::new(drain).ignore_res();
+    let (drain, guard) = Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let logger = Logger::root(drain.ignore_res(), o!("process" => "cowslip-gateway", "vm" => vm.to_owned()));
+    (logger, guard)
+}
+
+/// Counts lines about requests and says which are to be left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LineBudget {
+    second: u64,
+    written: u64,
+    left_out: u64,
+}
+
+impl LineBudget {
+    /// True when a line may be written now. The second value is the number of lines left out in the second before,
+    /// when it has not been told yet.
+    pub fn take(&mut self, now: ClockTime) -> (bool, Option<u64>) {
+        let second = now.millis() / 1_000;
+        let mut told = None;
+        if second != self.second {
+            told = (self.left_out > 0).then_some(self.left_out);
+            *self = Self { second, written: 0, left_out: 0 };
+        }
+        let allowed = self.written < LINES_PER_S;
+        if allowed {
+            self.written += 1;
+        } else {
+            self.left_out += 1;
+        }
+        (allowed, told)
+    }
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -0,0 +1,126 @@
+//! Counters, gauges and histograms, served as text on the metrics address.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// What a request or a call was, and how it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    /// Kind of request or call.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// All metrics of a gateway. Labels come from closed lists, so their number is bounded.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by kind of route and outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Sends to upstreams by kind of route and outcome.
+    pub sends: Family<OutcomeLabels, Counter>,
+    /// Calls to the store, by call and outcome.
+    pub store_calls: Family<OutcomeLabels, Counter>,
+    /// Orders to engines, by action and answer.
+    pub orders: Family<OutcomeLabels, Counter>,
+    /// Reports to the leader, by outcome.
+    pub reports: Family<OutcomeLabels, Counter>,
+    /// Streams resumed at another upstream.
+    pub resumes: Counter,
+    /// Sends repeated.
+    pub repeats: Counter,
+    /// Changes of the leader lease at this gateway.
+    pub lease_changes: Counter,
+    /// Log lines left out.
+    pub lines_left_out: Counter,
+    /// Assertions that failed.
+    pub violations: Counter,
+    /// Requests that wait.
+    pub waiting: Gauge,
+    /// Requests that run.
+    pub running: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge<u64, AtomicU64>,
+    /// Age of the view in ms.
+    pub view_age_ms: Gauge,
+    /// Time to the first byte of an answer in seconds.
+    pub first_byte_s: Histogram,
+    /// Time that requests waited for an upstream in seconds.
+    pub wait_s: Histogram,
+    /// Time of calls to the store that do not wait, in seconds.
+    pub store_s: Histogram,
+}
+
+impl GatewayMetrics {
+    /// Metrics that are all zero.
+    pub(crate) fn new() -> Self {
+        let times = || Histogram::new(exponential_buckets(0.001, 2.0, 16));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("cowslip"),
+            requests: Family::default(),
+            sends: Family::default(),
+            store_calls: Family::default(),
+            orders: Family::default(),
+            reports: Family::default(),
+            resumes: Counter::default(),
+            repeats: Counter::default(),
+            lease_changes: Counter::default(),
+            lines_left_out: Counter::default(),
+            violations: Counter::default(),
+            waiting: Gauge::default(),
+            running: Gauge::default(),
+            config_version: Gauge::default(),
+            view_age_ms: Gauge::default(),
+            first_byte_s: times(),
+            wait_s: times(),
+            store_s: times(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by kind and outcome", self.requests.clone());
+        registry.register("sends", "Sends to upstreams by kind and outcome", self.sends.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register("reports", "Reports to the leader", self.reports.clone());
+        registry.register("resumes", "Streams resumed at another upstream", self.resumes.clone());
+        registry.register("repeats", "Sends repeated", self.repeats.clone());
+        registry.register("lease_changes", "Changes of the leader lease", self.lease_changes.clone());
+        registry.register("log_lines_left_out", "Log lines left out", self.lines_left_out.clone());
+        registry.register("violations", "Assertions that failed", self.violations.clone());
+        registry.register("waiting", "Requests that wait for an upstream", self.waiting.clone());
+        registry.register("running", "Requests that run", self.running.clone());
+        registry.register("config_version", "Version of the configuration", self.config_version.clone());
+        registry.register("view_age_milliseconds", "Age of the view", self.view_age_ms.clone());
+        registry.register("first_byte_seconds", "Time to the first byte", self.first_byte_s.clone());
+        registry.register("wait_seconds", "Time that requests waited", self.wait_s.clone());
+        registry.register("store_seconds", "Time of store calls", self.store_s.clone());
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            // Writing to a string does not fail; an empty page tells that it did.
+            text.clear();
+        }
+        text
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -0,0 +1,137 @@
+//! The process: starts its tasks, and ends them at a planned stop without cutting a request.
+
+use std::io;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use cowslip_adapter::NodeSettings;
+use cowslip_fleet::LeaseHolder;
+use cowslip_rpc::GatewayApiServer;
+use cowslip_runtime::{ProcessClock, ShutdownSignal, random_hex};
+use cowslip_units::{IncarnationId, VmId, drain_violations};
+use jsonrpsee::server::Server;
+use slog::{Logger, error, info};
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::caller_server::{listen, serve_callers, serve_status};
+use crate::gateway_state::Gateway;
+use crate::leader_duty::{lease_loop, plan_loop};
+use crate::leader_exchange::{PeerServer, report_loop};
+use crate::store_follow::{FollowedTable, follow_table};
+
+/// Time in ms after the signal at which idle connections are closed: by then the platform's entry has seen two
+/// answers that say not ready, and sends no new connections.
+const CLOSE_IDLE_MS: u64 = 2_600;
+
+/// Time in ms before the end of the grace at which the process ends at the latest.
+const END_MARGIN_MS: u64 = 300;
+
+/// Pause in ms between two looks whether all requests are answered.
+const DRAIN_LOOK_MS: u64 = 50;
+
+/// Pause in ms between two rounds of upkeep.
+const UPKEEP_MS: u64 = 500;
+
+/// Why the process could not start.
+#[derive(Debug, Error)]
+enum StartFault {
+    /// An address cannot be used.
+    #[error("cannot listen: {0}")]
+    Listen(#[from] io::Error),
+    /// An id from the settings is not valid.
+    #[error("bad settings: {0}")]
+    Id(#[from] cowslip_units::UnitError),
+}
+
+/// Runs a gateway until it is stopped.
+pub async fn run_gateway(settings: NodeSettings, logger: Logger) -> ExitCode {
+    let clock = ProcessClock::new();
+    let gateway = Gateway::new(settings, clock, logger);
+    match start(&gateway).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            error!(gateway.logger, "start_failed"; "fault" => %fault);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn start(gateway: &Arc<Gateway>) -> Result<(), StartFault> {
+    let mut shutdown = ShutdownSignal::new()?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let settings = &gateway.settings;
+    let callers = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    let metrics = listen(settings.metrics)?;
+    let incarnation = IncarnationId::new(&format!("{}:{}", settings.name, random_hex(6)))?;
+    let own = LeaseHolder { vm: VmId::new(&settings.peers.to_string())?, incarnation: incarnation.clone() };
+    let peers = Server::builder().build(settings.peers).await?;
+    let serving = peers.start(PeerServer::new(Arc::clone(gateway)).into_rpc());
+    info!(gateway.logger, "started"; "incarnation" => %incarnation, "domain" => %settings.domain,
+        "callers" => %settings.callers, "store" => %settings.store, "first_start" => settings.first_start);
+    tokio::spawn(follow_table(Arc::clone(gateway), FollowedTable::Operators));
+    tokio::spawn(follow_table(Arc::clone(gateway), FollowedTable::Upstreams));
+    tokio::spawn(serve_callers(Arc::clone(gateway), callers));
+    tokio::spawn(serve_status(Arc::clone(gateway), readiness));
+    tokio::spawn(serve_status(Arc::clone(gateway), metrics));
+    tokio::spawn(report_loop(Arc::clone(gateway)));
+    tokio::spawn(plan_loop(Arc::clone(gateway)));
+    tokio::spawn(upkeep(Arc::clone(gateway)));
+    let lease = tokio::spawn(lease_loop(Arc::clone(gateway), own));
+    loop {
+        tokio::select! {
+            () = shutdown.wait() => break,
+            _ = reload.recv() => info!(gateway.logger, "reload"; "effect" => "none of the settings in use can change"),
+        }
+    }
+    drain(gateway).await;
+    if lease.is_finished() {
+        info!(gateway.logger, "lease_released");
+    }
+    drop(serving);
+    info!(gateway.logger, "stopped");
+    Ok(())
+}
+
+/// Answers what is under way, then returns.
+async fn drain(gateway: &Arc<Gateway>) {
+    let begun_at = gateway.now();
+    let active = {
+        let mut state = gateway.lock();
+        state.stopping = true;
+        state.active
+    };
+    info!(gateway.logger, "stopping"; "active" => active);
+    gateway.clock.sleep_ms(CLOSE_IDLE_MS.min(gateway.settings.grace_ms / 3)).await;
+    gateway.closing.send_replace(true);
+    let end_at = begun_at.plus_ms(gateway.settings.grace_ms.saturating_sub(END_MARGIN_MS));
+    loop {
+        gateway.clock.sleep_ms(DRAIN_LOOK_MS).await;
+        let busy = gateway.lock().active > 0 || gateway.closing.receiver_count() > 0;
+        if !busy || gateway.now() >= end_at {
+            return;
+        }
+    }
+}
+
+/// Forgets what has lapsed, and reports failed assertions.
+async fn upkeep(gateway: Arc<Gateway>) {
+    loop {
+        gateway.clock.sleep_ms(UPKEEP_MS).await;
+        let now = gateway.now();
+        let gone = {
+            let mut state = gateway.lock();
+            let trouble = state.store_failed_at;
+            state.book.expire(trouble, now)
+        };
+        for upstream in gone {
+            info!(gateway.logger, "upstream_lapsed"; "upstream" => %upstream);
+        }
+        gateway.pool.close_idle();
+        for violation in drain_violations() {
+            gateway.metrics.violations.inc();
+            error!(gateway.logger, "violation"; "state" => format!("{violation:?}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -0,0 +1,391 @@
+//! What a gateway knows and does at the moment, and the services around it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use cowslip_adapter::{NodeSettings, StoreClient, StoreRow};
+use cowslip_entry::{
+    ArrivalLine, DemandLine, GatewayReport, ModelNeed, OperatorView, PickScope, RepeatBudget, RequestNeed,
+    RunningLine, ServiceRule, TokenAsk, TokenPurse, UpstreamBook, UpstreamPick, ViewStamp,
+};
+use cowslip_fleet::LeaderLease;
+use cowslip_runtime::ProcessClock;
+use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, TeamId, UpstreamId};
+use slog::Logger;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::gateway_log::LineBudget;
+use crate::gateway_metrics::GatewayMetrics;
+use crate::leader_state::LeaderState;
+use crate::upstream_pool::UpstreamPool;
+
+/// A request that waits for an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingNeed {
+    /// Tells waiting requests apart.
+    pub ticket: u64,
+    /// What it needs.
+    pub need: ModelNeed,
+    /// Since when it waits.
+    pub since: ClockTime,
+    /// Its rank.
+    pub priority: u8,
+    /// True when no upstream holds what it needs.
+    pub unplaced: bool,
+}
+
+/// Requests of a model since the last report.
+#[derive(Clone, Debug)]
+struct ArrivedCount {
+    need: ModelNeed,
+    count: u32,
+}
+
+/// Tokens that requests of a team lack at the moment.
+#[derive(Clone, Debug)]
+pub(crate) struct TeamTokens {
+    /// The team.
+    pub team: TeamId,
+    /// Its tokens.
+    pub purse: TokenPurse,
+    /// Tokens that waiting requests lack.
+    pub short: u64,
+    /// Until when the leader believes the team to be out of tokens.
+    pub refused_until: ClockTime,
+}
+
+/// What a gateway knows.
+#[derive(Debug)]
+pub(crate) struct GatewayState {
+    /// The operators' table.
+    pub view: OperatorView,
+    /// Domains that are evacuated, sorted.
+    pub evacuated: Vec<DomainId>,
+    /// Upstreams.
+    pub book: UpstreamBook,
+    /// Store version up to which the upstreams' table is known.
+    pub upstream_version: u64,
+    /// True once the upstreams' table was read.
+    pub upstreams_known: bool,
+    /// Rows of the operators' table as they are in the store, for other gateways.
+    pub operator_rows: Vec<StoreRow>,
+    /// Rows of the upstreams' table.
+    pub upstream_rows: Vec<StoreRow>,
+    /// When a store call last failed.
+    pub store_failed_at: Option<ClockTime>,
+    /// Names of all gateways, sorted.
+    pub members: Vec<SmolStr>,
+    /// Addresses of other gateways.
+    pub peers: Vec<SocketAddr>,
+    /// The leader, as far as is known.
+    pub leader: Option<SocketAddr>,
+    /// When a leader last answered: the send time of the report.
+    pub leader_heard_at: Option<ClockTime>,
+    /// Models that are being loaded.
+    pub arrivals: Vec<ArrivalLine>,
+    /// Requests that wait.
+    pub waiting: Vec<WaitingNeed>,
+    /// Tokens of the teams.
+    pub tokens: Vec<TeamTokens>,
+    /// Budgets of repeated sends.
+    pub repeats: Vec<(ServiceId, RepeatBudget)>,
+    /// Leader duties, while this gateway leads.
+    pub lead: Option<LeaderState>,
+    /// True after a termination signal.
+    pub stopping: bool,
+    /// Requests in progress.
+    pub active: u32,
+    /// Log lines of this second.
+    pub lines: LineBudget,
+    arrived: Vec<ArrivedCount>,
+    running: Vec<RunningLine>,
+    next_ticket: u64,
+}
+
+/// A gateway: its state and the services around it.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// The clock.
+    pub clock: ProcessClock,
+    /// The logger.
+    pub logger: Logger,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// The store.
+    pub store: StoreClient,
+    /// Connections to upstreams.
+    pub pool: UpstreamPool,
+    /// Wakes requests that wait.
+    pub changed: Notify,
+    /// Wakes the report to the leader.
+    pub report_now: Notify,
+    /// Wakes the leader's duties.
+    pub lead_now: Notify,
+    /// True when connections of callers are to be closed.
+    pub closing: watch::Sender<bool>,
+    /// The lease as it was last looked at; its holder checks it at the moment of each order.
+    pub lease: Mutex<Option<LeaderLease>>,
+    state: Mutex<GatewayState>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub(crate) fn new(settings: NodeSettings, clock: ProcessClock, logger: Logger) -> Arc<Self> {
+        let store = StoreClient::new(settings.store);
+        Arc::new(Self {
+            settings,
+            clock,
+            logger,
+            metrics: GatewayMetrics::new(),
+            store,
+            pool: UpstreamPool::new(clock),
+            changed: Notify::new(),
+            report_now: Notify::new(),
+            lead_now: Notify::new(),
+            closing: watch::Sender::new(false),
+            lease: Mutex::new(None),
+            state: Mutex::new(GatewayState::new()),
+        })
+    }
+
+    /// The state. Never held across a wait.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, GatewayState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The present point.
+    pub(crate) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    /// True when a line about a request may be logged now.
+    pub(crate) fn may_log(&self) -> bool {
+        let (allowed, left_out) = self.lock().lines.take(self.now());
+        if let Some(count) = left_out {
+            self.metrics.lines_left_out.inc_by(count);
+            slog::warn!(self.logger, "log_lines_left_out"; "count" => count);
+        }
+        allowed
+    }
+}
+
+impl GatewayState {
+    fn new() -> Self {
+        Self {
+            view: OperatorView::new(),
+            evacuated: Vec::new(),
+            book: UpstreamBook::new(),
+            upstream_version: 0,
+            upstreams_known: false,
+            operator_rows: Vec::new(),
+            upstream_rows: Vec::new(),
+            store_failed_at: None,
+            members: Vec::new(),
+            peers: Vec::new(),
+            leader: None,
+            leader_heard_at: None,
+            arrivals: Vec::new(),
+            waiting: Vec::new(),
+            tokens: Vec::new(),
+            repeats: Vec::new(),
+            lead: None,
+            stopping: false,
+            active: 0,
+            lines: LineBudget::default(),
+            arrived: Vec::new(),
+            running: Vec::new(),
+            next_ticket: 0,
+        }
+    }
+
+    /// How fresh the view is.
+    pub(crate) fn stamp(&self, now: ClockTime) -> ViewStamp {
+        ViewStamp {
+            version: self.view.version(),
+            age_ms: self.view.age_ms(now),
+            upstream_version: self.upstream_version,
+        }
+    }
+
+    /// Number of gateways, at least `least` as long as no leader has told.
+    pub(crate) fn member_count(&self, least: usize) -> usize {
+        if self.members.is_empty() { least } else { self.members.len() }
+    }
+
+    /// Chooses an upstream for a request.
+    pub(crate) fn pick(
+        &self,
+        settings: &NodeSettings,
+        service: &ServiceRule,
+        need: &RequestNeed,
+        tried: &[UpstreamId],
+        now: ClockTime,
+    ) -> UpstreamPick {
+        let scope = PickScope {
+            service,
+            domain: &settings.domain,
+            evacuated: &self.evacuated,
+            regions: &settings.regions,
+            tried,
+            own: &settings.name,
+            members: &self.members,
+            cold: settings.cold,
+        };
+        self.book.pick(need, &scope, now)
+    }
+
+    /// A request arrived that needs a model.
+    pub(crate) fn arrived(&mut self, need: &ModelNeed) {
+        match self.arrived.iter_mut().find(|known| known.need == *need) {
+            Some(known) => known.count += 1,
+            None => self.arrived.push(ArrivedCount { need: need.clone(), count: 1 }),
+        }
+    }
+
+    /// A request begins to wait; returns its ticket.
+    pub(crate) fn begin_wait(&mut self, need: ModelNeed, priority: u8, now: ClockTime) -> u64 {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.waiting.push(WaitingNeed { ticket, need, since: now, priority, unplaced: false });
+        ticket
+    }
+
+    /// A waiting request found that no upstream holds what it needs, or that one does; true when that is news that
+    /// the leader should hear.
+    pub(crate) fn set_unplaced(&mut self, ticket: u64, unplaced: bool) -> bool {
+        let waiting = self.waiting.iter_mut().find(|waiting| waiting.ticket == ticket);
+        waiting.is_some_and(|waiting| {
+            let news = unplaced && !waiting.unplaced;
+            waiting.unplaced = unplaced;
+            news
+        })
+    }
+
+    /// A request no longer waits.
+    pub(crate) fn end_wait(&mut self, ticket: u64) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// True when a request waits for what no upstream holds.
+    pub(crate) fn has_unplaced(&self) -> bool {
+        self.waiting.iter().any(|waiting| waiting.unplaced)
+    }
+
+    /// A call to an upstream begins.
+    pub(crate) fn begin_call(&mut self, upstream: &UpstreamId, need: Option<&ModelNeed>) {
+        if let Some(known) = self.book.get_mut(upstream) {
+            known.running += 1;
+        }
+        let model = need.map(|need| need.model.clone());
+        let adapter = need.and_then(|need| need.adapter.clone());
+        match self.running_line(upstream, model.as_ref(), adapter.as_ref()) {
+            Some(line) => line.count += 1,
+            None => {
+                self.running.push(RunningLine { upstream: upstream.clone(), model, adapter, count: 1 });
+            }
+        }
+    }
+
+    /// A call to an upstream ended.
+    pub(crate) fn end_call(&mut self, upstream: &UpstreamId, need: Option<&ModelNeed>) {
+        if let Some(known) = self.book.get_mut(upstream) {
+            known.running = known.running.saturating_sub(1);
+        }
+        let model = need.map(|need| &need.model);
+        let adapter = need.and_then(|need| need.adapter.as_ref());
+        if let Some(line) = self.running_line(upstream, model, adapter) {
+            line.count = line.count.saturating_sub(1);
+        }
+        self.running.retain(|line| line.count > 0);
+    }
+
+    fn running_line(
+        &mut self,
+        upstream: &UpstreamId,
+        model: Option<&ModelId>,
+        adapter: Option<&SmolStr>,
+    ) -> Option<&mut RunningLine> {
+        self.running.iter_mut().find(|line| {
+            line.upstream == *upstream && line.model.as_ref() == model && line.adapter.as_ref() == adapter
+        })
+    }
+
+    /// The tokens of a team.
+    pub(crate) fn team_tokens(&mut self, team: &TeamId, now: ClockTime) -> &mut TeamTokens {
+        let at = match self.tokens.binary_search_by(|tokens| tokens.team.cmp(team)) {
+            Ok(at) => at,
+            Err(at) => {
+                let tokens = TeamTokens {
+                    team: team.clone(),
+                    purse: TokenPurse::new(now),
+                    short: 0,
+                    refused_until: ClockTime::ZERO,
+                };
+                self.tokens.insert(at, tokens);
+                at
+            }
+        };
+        &mut self.tokens[at]
+    }
+
+    /// The budget of repeated sends to a service.
+    pub(crate) fn repeat_budget(&mut self, service: &ServiceId, now: ClockTime) -> &mut RepeatBudget {
+        let at = match self.repeats.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.repeats.insert(at, (service.clone(), RepeatBudget::new(now)));
+                at
+            }
+        };
+        &mut self.repeats[at].1
+    }
+
+    /// Composes the report to the leader and forgets what it tells.
+    pub(crate) fn take_report(&mut self, settings: &NodeSettings, now: ClockTime) -> GatewayReport {
+        let mut demand: Vec<DemandLine> = Vec::new();
+        for arrived in std::mem::take(&mut self.arrived) {
+            demand_line(&mut demand, &arrived.need).arrived += arrived.count;
+        }
+        for waiting in self.waiting.iter().filter(|waiting| waiting.unplaced) {
+            let line = demand_line(&mut demand, &waiting.need);
+            line.waiting += 1;
+            line.oldest_ms = line.oldest_ms.max(now.since_ms(waiting.since));
+            line.priority = line.priority.min(waiting.priority);
+        }
+        let asks = self.tokens.iter_mut().map(|tokens| TokenAsk {
+            team: tokens.team.clone(),
+            short: tokens.short.saturating_sub(tokens.purse.left(now)),
+            ahead: tokens.purse.ahead(now),
+            returned: tokens.purse.take_returned(),
+        });
+        let tokens: Vec<TokenAsk> = asks.filter(|ask| ask.short + ask.ahead + ask.returned > 0).collect();
+        GatewayReport {
+            gateway: settings.name.clone(),
+            address: Some(settings.peers),
+            view: self.stamp(now),
+            demand,
+            running: self.running.clone(),
+            tokens,
+        }
+    }
+}
+
+fn demand_line<'a>(lines: &'a mut Vec<DemandLine>, need: &ModelNeed) -> &'a mut DemandLine {
+    let found = lines.iter().position(|line| line.model == need.model && line.adapter == need.adapter);
+    let at = found.unwrap_or_else(|| {
+        lines.push(DemandLine {
+            model: need.model.clone(),
+            adapter: need.adapter.clone(),
+            arrived: 0,
+            waiting: 0,
+            oldest_ms: 0,
+            priority: u8::MAX,
+        });
+        lines.len() - 1
+    });
+    &mut lines[at]
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -0,0 +1,290 @@
+//! The leader lease, and the duties of its holder: orders to engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_adapter::header_names::EXPECT_UPSTREAM;
+use cowslip_adapter::{ORDER_PATH, REPORT_PATH, engine_status, order_answer, order_body};
+use cowslip_entry::{EngineOrder, EngineStatus, OrderAnswer, PlanStep, UpstreamEntry};
+use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
+use cowslip_platform::TableService;
+use cowslip_units::{ClockTime, FenceNumber, UpstreamId};
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use slog::{info, warn};
+use tokio::time::timeout;
+
+use crate::gateway_metrics::OutcomeLabels;
+use crate::gateway_state::Gateway;
+use crate::leader_state::LeaderState;
+use crate::upstream_pool::SendFault;
+
+/// Times of the lease: valid for 1.5 s, renewed every 0.6 s.
+const LEASE_TIMES: LeaseTimes = LeaseTimes::new(1_500, 600, 150);
+
+/// Longest sleep in ms between two looks at the lease.
+const LOOK_MS: u64 = 100;
+
+/// Time in ms without an answer of the leader after which a candidate reads the lease row.
+const SILENT_MS: u64 = 700;
+
+/// Time in ms on top of the required gap between the orders of two holders.
+const GAP_MARGIN_MS: u64 = 200;
+
+/// Longest pause in ms between two plans.
+const PLAN_MS: u64 = 60;
+
+/// Shortest pause in ms between two plans.
+const LEAST_PLAN_MS: u64 = 5;
+
+/// Time in ms for an engine to answer an order or a question.
+const ENGINE_MS: u64 = 700;
+
+/// Longest report of an engine in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// Keeps the lease until it is released at a planned stop.
+pub(crate) async fn lease_loop(gateway: Arc<Gateway>, own: LeaseHolder) {
+    let mut lease = LeaderLease::new(own).with_times(LEASE_TIMES);
+    loop {
+        let now = gateway.now();
+        if gateway.lock().stopping {
+            lease.release(now);
+        }
+        settle_lead(&gateway, &lease, now);
+        if lease.is_released() {
+            return;
+        }
+        if follows_well(&gateway, &lease, now) {
+            gateway.clock.sleep_ms(LOOK_MS).await;
+            continue;
+        }
+        match lease.next(now) {
+            LeaseStep::Idle(until) => {
+                gateway.clock.sleep_ms(until.since_ms(now).clamp(1, LOOK_MS)).await;
+            }
+            LeaseStep::Read => {
+                let result = gateway.store.read(LEASE_KEY).await;
+                count_store(&gateway, "lease_read", result.is_err());
+                lease.read_answered(&result, gateway.now());
+            }
+            LeaseStep::Commit(transaction) => {
+                let result = gateway.store.commit(&transaction).await;
+                count_store(&gateway, "lease_write", result.is_err());
+                lease.commit_answered(&result, gateway.now());
+            }
+        }
+        learn_leader(&gateway, &lease);
+    }
+}
+
+fn count_store(gateway: &Gateway, kind: &'static str, failed: bool) {
+    let outcome = if failed { "failed" } else { "ok" };
+    gateway.metrics.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+}
+
+/// True while a leader answers this gateway's reports: the lease row need not be read.
+fn follows_well(gateway: &Gateway, lease: &LeaderLease, now: ClockTime) -> bool {
+    let state = gateway.lock();
+    let heard = state.leader_heard_at.is_some_and(|at| now.since_ms(at) < SILENT_MS);
+    heard && !lease.is_leader(now) && state.lead.is_none()
+}
+
+fn learn_leader(gateway: &Gateway, lease: &LeaderLease) {
+    let address: Option<SocketAddr> = lease.holder().and_then(|holder| holder.vm.as_str().parse().ok());
+    if let Some(address) = address {
+        let mut state = gateway.lock();
+        if state.leader != Some(address) {
+            state.leader = Some(address);
+            drop(state);
+            gateway.report_now.notify_one();
+        }
+    }
+}
+
+/// Begins or ends the duties as the lease says.
+fn settle_lead(gateway: &Gateway, lease: &LeaderLease, now: ClockTime) {
+    let epoch = lease.epoch(now);
+    let mut state = gateway.lock();
+    match (epoch, &state.lead) {
+        (Some(fence), None) => {
+            let earlier = lease.earlier_until(now);
+            let gap_ms = gateway.settings.order_gap_ms + GAP_MARGIN_MS;
+            let orders_from = earlier.map_or(now, |until| until.plus_ms(gap_ms));
+            let lead = LeaderState::new(
+                fence,
+                gateway.settings.loads,
+                gateway.settings.rate_tolerance,
+                earlier.is_none(),
+                orders_from,
+                now,
+            );
+            state.lead = Some(lead);
+            drop(state);
+            gateway.metrics.lease_changes.inc();
+            info!(gateway.logger, "lead_began"; "fence" => fence.get(), "orders_in_ms" => orders_from.since_ms(now));
+            gateway.report_now.notify_one();
+        }
+        (None, Some(lead)) => {
+            let fence = lead.fence;
+            state.lead = None;
+            drop(state);
+            gateway.metrics.lease_changes.inc();
+            warn!(gateway.logger, "lead_ended"; "fence" => fence.get());
+        }
+        (Some(_), Some(_)) => {
+            drop(state);
+        }
+        (None, None) => {}
+    }
+    *gateway.lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(lease.clone());
+}
+
+/// True when this gateway may act as the leader of that fence at this moment.
+fn leads_now(gateway: &Gateway, fence: FenceNumber) -> bool {
+    let lease = gateway.lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    lease.as_ref().and_then(|lease| lease.epoch(gateway.now())) == Some(fence)
+}
+
+/// Plans and sends orders while this gateway leads.
+pub(crate) async fn plan_loop(gateway: Arc<Gateway>) {
+    loop {
+        let steps = plan(&gateway);
+        for (step, fence) in steps {
+            tokio::spawn(carry_out(Arc::clone(&gateway), step, fence));
+        }
+        let woken = timeout(Duration::from_millis(PLAN_MS), gateway.lead_now.notified()).await;
+        if woken.is_ok() {
+            gateway.clock.sleep_ms(LEAST_PLAN_MS).await;
+        }
+    }
+}
+
+fn plan(gateway: &Gateway) -> Vec<(PlanStep, FenceNumber)> {
+    let now = gateway.now();
+    let mut state = gateway.lock();
+    let state = &mut *state;
+    let (Some(lead), Some(config)) = (state.lead.as_mut(), state.view.config().cloned()) else {
+        return Vec::new();
+    };
+    let fence = lead.fence;
+    let is_engine = |entry: &&UpstreamEntry| {
+        config.service(&entry.service).is_some_and(|service| service.engine.is_some())
+    };
+    let entries = state.book.all().iter().map(|known| &known.entry).filter(is_engine);
+    lead.planner.sync(entries, &state.evacuated, now);
+    let steps = lead.planner.step(config.services(), now);
+    steps.into_iter().map(|step| (step, fence)).collect()
+}
+
+async fn carry_out(gateway: Arc<Gateway>, step: PlanStep, fence: FenceNumber) {
+    match step {
+        PlanStep::Ask(upstream, address) => {
+            let status = ask(&gateway, &upstream, address).await;
+            if let Some(lead) = gateway.lock().lead.as_mut() {
+                lead.planner.status(&upstream, status, gateway.clock.now());
+            }
+        }
+        PlanStep::Order(order) => {
+            let answer = send_order(&gateway, &order, fence).await;
+            let now = gateway.now();
+            let labels = OutcomeLabels { kind: action_name(&order), outcome: answer_name(answer) };
+            gateway.metrics.orders.get_or_create(&labels).inc();
+            info!(gateway.logger, "order"; "upstream" => %order.upstream, "action" => %order.action,
+                "expected_orders" => order.expected_orders, "fence" => fence.get(), "answer" => answer_name(answer));
+            let mut state = gateway.lock();
+            let config = state.view.config().cloned();
+            let service = state.book.get(&order.upstream).map(|known| known.entry.service.clone());
+            let rule = service.and_then(|service| config.as_ref()?.service(&service)?.engine.clone());
+            if let (Some(lead), Some(rule)) = (state.lead.as_mut(), rule) {
+                lead.planner.answered(&order, answer, &rule, now);
+            }
+        }
+    }
+    gateway.lead_now.notify_one();
+}
+
+const fn action_name(order: &EngineOrder) -> &'static str {
+    use cowslip_entry::EngineAction;
+    match order.action {
+        EngineAction::Load(_) => "load",
+        EngineAction::Unload(_) => "unload",
+        EngineAction::LoadAdapter(..) => "load_adapter",
+        EngineAction::UnloadAdapter(..) => "unload_adapter",
+    }
+}
+
+const fn answer_name(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Started => "started",
+        OrderAnswer::Holds => "holds",
+        OrderAnswer::Conflict => "conflict",
+        OrderAnswer::Refused => "refused",
+        OrderAnswer::NotSent => "not_sent",
+        OrderAnswer::InDoubt => "in_doubt",
+    }
+}
+
+async fn send_order(gateway: &Gateway, order: &EngineOrder, fence: FenceNumber) -> OrderAnswer {
+    let holder = gateway.settings.name.as_str();
+    let body = match order_body(order, holder, fence) {
+        Ok(body) => body,
+        Err(error) => {
+            warn!(gateway.logger, "order_unwritable"; "error" => %error);
+            return OrderAnswer::Refused;
+        }
+    };
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(ORDER_PATH)
+        .header(http::header::HOST, order.address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(EXPECT_UPSTREAM, order.upstream.as_str())
+        .body(Full::new(Bytes::from(body)));
+    let Ok(request) = request else { return OrderAnswer::Refused };
+    if !leads_now(gateway, fence) {
+        return OrderAnswer::NotSent;
+    }
+    let call = async {
+        match gateway.pool.send(order.address, request).await {
+            Ok((response, connection)) => {
+                let status = response.status().as_u16();
+                let keep = cowslip_adapter::keep_alive_s(response.headers());
+                if response.into_body().collect().await.is_ok() {
+                    gateway.pool.put_back(connection, keep);
+                }
+                order_answer(status)
+            }
+            Err(SendFault::NotSent(_)) => OrderAnswer::NotSent,
+            Err(SendFault::Broken(_)) => OrderAnswer::InDoubt,
+        }
+    };
+    timeout(Duration::from_millis(ENGINE_MS), call).await.unwrap_or(OrderAnswer::InDoubt)
+}
+
+async fn ask(gateway: &Gateway, upstream: &UpstreamId, address: SocketAddr) -> Option<EngineStatus> {
+    let request = Request::builder()
+        .uri(REPORT_PATH)
+        .header(http::header::HOST, address.to_string())
+        .header(EXPECT_UPSTREAM, upstream.as_str())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let call = async {
+        let (response, connection) = gateway.pool.send(address, request).await.ok()?;
+        let ok = response.status().is_success();
+        let keep = cowslip_adapter::keep_alive_s(response.headers());
+        let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
+        gateway.pool.put_back(connection, keep);
+        ok.then_some(body)
+    };
+    let body = timeout(Duration::from_millis(ENGINE_MS), call).await.ok()??;
+    match engine_status(&body) {
+        Ok(status) => Some(status),
+        Err(fault) => {
+            warn!(gateway.logger, "engine_report_unreadable"; "upstream" => %upstream, "fault" => fault);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -0,0 +1,253 @@
+//! Reports to the leader, and what a gateway serves to others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslip_entry::{GatewayReport, LeaderAnswer, TokenGrantLine, ViewCopy};
+use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
+use cowslip_units::ClockTime;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::http_client::HttpClient;
+use slog::{info, warn};
+use tokio::time::timeout;
+
+use crate::gateway_metrics::OutcomeLabels;
+use crate::gateway_state::{Gateway, GatewayState};
+use crate::store_follow::{take_copy, view_copy};
+
+/// Pause in ms between two reports of a small fleet.
+const REPORT_MS: u64 = 250;
+
+/// Pause in ms that each gateway of a large fleet adds, so that the leader's work stays bounded.
+const REPORT_MS_PER_MEMBER: u64 = 6;
+
+/// Pause in ms between reports while requests wait for the leader.
+const URGENT_MS: u64 = 30;
+
+/// Shortest pause in ms between two reports.
+const LEAST_MS: u64 = 4;
+
+/// Time in ms for the leader to answer.
+const ANSWER_MS: u64 = 400;
+
+/// Age in ms of the own view from which another gateway is asked for its one.
+const VOUCH_AGE_MS: u64 = 2_200;
+
+/// Serves other gateways.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerServer {
+    gateway: Arc<Gateway>,
+}
+
+impl PeerServer {
+    /// Serves `gateway`.
+    pub(crate) const fn new(gateway: Arc<Gateway>) -> Self {
+        Self { gateway }
+    }
+}
+
+#[async_trait]
+impl GatewayApiServer for PeerServer {
+    async fn gateway_report(&self, report: GatewayReport) -> RpcResult<LeaderAnswer> {
+        Ok(answer_report(&self.gateway, report))
+    }
+
+    async fn view_copy(&self) -> RpcResult<ViewCopy> {
+        let now = self.gateway.now();
+        Ok(view_copy(&self.gateway.lock(), now))
+    }
+}
+
+/// Answers a report: as the leader, or with what is known of the leader.
+pub(crate) fn answer_report(gateway: &Gateway, report: GatewayReport) -> LeaderAnswer {
+    let now = gateway.now();
+    let urgent = report.demand.iter().any(|line| line.waiting > 0);
+    let mut state = gateway.lock();
+    let view = state.stamp(now);
+    let config = state.view.config().cloned();
+    let leader = state.leader;
+    let own = gateway.settings.peers;
+    let Some(lead) = state.lead.as_mut() else {
+        return LeaderAnswer { leader, view, ..LeaderAnswer::default() };
+    };
+    if let Some(config) = &config {
+        lead.grants.configure(config.teams(), now);
+    }
+    let services = config.as_ref().map_or(&[][..], |config| config.services());
+    let answer = lead.answer(report, services, view, own, now);
+    drop(state);
+    if urgent {
+        gateway.lead_now.notify_one();
+    }
+    answer
+}
+
+/// Clients of other gateways.
+#[derive(Debug, Default)]
+struct PeerClients {
+    clients: Vec<(SocketAddr, HttpClient)>,
+}
+
+impl PeerClients {
+    fn get(&mut self, gateway: &Gateway, address: SocketAddr) -> Option<HttpClient> {
+        if let Some((_, client)) = self.clients.iter().find(|(known, _)| *known == address) {
+            return Some(client.clone());
+        }
+        match connect(address, ANSWER_MS) {
+            Ok(client) => {
+                self.clients.push((address, client.clone()));
+                Some(client)
+            }
+            Err(error) => {
+                warn!(gateway.logger, "peer_client_failed"; "peer" => %address, "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Forgets a client, so that the next call makes a new connection.
+    fn forget(&mut self, address: SocketAddr) {
+        self.clients.retain(|(known, _)| *known != address);
+    }
+}
+
+/// Reports to the leader for as long as the process runs.
+pub(crate) async fn report_loop(gateway: Arc<Gateway>) {
+    let mut clients = PeerClients::default();
+    let mut heard = false;
+    let mut next_peer = 0_usize;
+    loop {
+        let sent_at = gateway.now();
+        let (leader, leads) = {
+            let state = gateway.lock();
+            (state.leader, state.lead.is_some())
+        };
+        let answer = if leads {
+            let report = gateway.lock().take_report(&gateway.settings, sent_at);
+            Some(answer_report(&gateway, report))
+        } else if let Some(leader) = leader {
+            ask_leader(&gateway, &mut clients, leader, sent_at).await
+        } else {
+            None
+        };
+        let led = answer.as_ref().is_some_and(|answer| answer.leads);
+        if led != heard {
+            heard = led;
+            if led {
+                info!(gateway.logger, "leader_heard"; "leader" => leader.map(|leader| leader.to_string()));
+            } else {
+                warn!(gateway.logger, "leader_lost"; "leader" => leader.map(|leader| leader.to_string()));
+            }
+        }
+        if let Some(answer) = answer {
+            take_answer(&gateway, answer, sent_at);
+        }
+        vouch(&gateway, &mut clients, &mut next_peer).await;
+        pause(&gateway).await;
+    }
+}
+
+async fn ask_leader(
+    gateway: &Arc<Gateway>,
+    clients: &mut PeerClients,
+    leader: SocketAddr,
+    sent_at: ClockTime,
+) -> Option<LeaderAnswer> {
+    let client = clients.get(gateway, leader)?;
+    let report = gateway.lock().take_report(&gateway.settings, sent_at);
+    let result = client.gateway_report(report).await;
+    let outcome = if result.is_ok() { "ok" } else { "failed" };
+    gateway.metrics.reports.get_or_create(&OutcomeLabels { kind: "report", outcome }).inc();
+    match result {
+        Ok(answer) => Some(answer),
+        Err(error) => {
+            clients.forget(leader);
+            if gateway.may_log() {
+                warn!(gateway.logger, "report_failed"; "leader" => %leader, "error" => %error);
+            }
+            None
+        }
+    }
+}
+
+/// Takes the leader's answer.
+fn take_answer(gateway: &Gateway, answer: LeaderAnswer, sent_at: ClockTime) {
+    let now = gateway.now();
+    let mut state = gateway.lock();
+    if let Some(age_ms) = answer.view.age_ms {
+        let proven_at = sent_at.minus_ms(age_ms);
+        state.view.prove(answer.view.version, proven_at);
+    }
+    if !answer.leads {
+        if answer.leader.is_some() {
+            state.leader = answer.leader;
+        }
+        return;
+    }
+    state.leader_heard_at = Some(sent_at);
+    state.peers = answer.peers;
+    if state.members != answer.members {
+        state.members = answer.members;
+        set_own_parts(&mut state, now);
+    }
+    state.arrivals = answer.arrivals;
+    state.book.told(&answer.running, &answer.adapters, &answer.leaving);
+    for grant in &answer.grants {
+        take_grant(&mut state, grant, sent_at, now);
+    }
+    drop(state);
+    gateway.changed.notify_waiters();
+}
+
+fn take_grant(state: &mut GatewayState, grant: &TokenGrantLine, sent_at: ClockTime, now: ClockTime) {
+    let tokens = state.team_tokens(&grant.team, now);
+    tokens.purse.granted(grant.granted, sent_at, now);
+    tokens.refused_until = now.plus_ms(grant.wait_ms);
+}
+
+fn set_own_parts(state: &mut GatewayState, now: ClockTime) {
+    let members = state.member_count(crate::FALLBACK_MEMBERS);
+    let Some(config) = state.view.config().cloned() else { return };
+    for team in config.teams().iter().filter(|team| team.limited()) {
+        state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, members, now);
+    }
+}
+
+/// Asks another gateway for its view when the own one has become old.
+async fn vouch(gateway: &Arc<Gateway>, clients: &mut PeerClients, next_peer: &mut usize) {
+    let now = gateway.now();
+    let (old, peer) = {
+        let state = gateway.lock();
+        let old = state.view.age_ms(now).is_none_or(|age| age >= VOUCH_AGE_MS);
+        let mut peers = state.peers.clone();
+        if state.lead.is_none() {
+            peers.extend(state.leader);
+        }
+        let at = if peers.is_empty() { 0 } else { *next_peer % peers.len() };
+        (old, peers.get(at).copied())
+    };
+    let (true, Some(peer)) = (old, peer) else { return };
+    *next_peer += 1;
+    let Some(client) = clients.get(gateway, peer) else { return };
+    let result = client.view_copy().await;
+    let outcome = if result.is_ok() { "ok" } else { "failed" };
+    gateway.metrics.reports.get_or_create(&OutcomeLabels { kind: "view_copy", outcome }).inc();
+    match result {
+        Ok(copy) => take_copy(gateway, copy, now),
+        Err(_) => clients.forget(peer),
+    }
+}
+
+async fn pause(gateway: &Gateway) {
+    let pause_ms = {
+        let state = gateway.lock();
+        let waits = state.has_unplaced() || state.tokens.iter().any(|tokens| tokens.short > 0);
+        let members = state.members.len() as u64;
+        if waits { URGENT_MS } else { REPORT_MS.max(members * REPORT_MS_PER_MEMBER) }
+    };
+    let woken = timeout(Duration::from_millis(pause_ms), gateway.report_now.notified()).await;
+    if woken.is_ok() {
+        gateway.clock.sleep_ms(LEAST_MS).await;
+    }
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/main.rs
@@ -0,0 +1,55 @@
+//! The gateway process.
+
+use std::env;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command};
+use cowslip_adapter::{NodeSettings, SETTINGS_VARIABLE};
+use cowslip_gateway::{gateway_logger, run_gateway};
+use cowslip_runtime::run_process;
+
+/// Exit code for wrong usage or settings.
+const USAGE_EXIT: u8 = 2;
+
+fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .value_parser(clap::value_parser!(PathBuf))
+        .help("Settings file of the platform; without it, the file that the platform's environment variable names");
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Check the settings, report what is missing, and exit");
+    Command::new("cowslip-gateway")
+        .about("Serves callers on the users' platform")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(settings)
+        .arg(check)
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let named = matches.get_one::<PathBuf>("settings").cloned();
+    let Some(path) = named.or_else(|| env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)) else {
+        eprintln!("no settings file: give --settings FILE or set {SETTINGS_VARIABLE}");
+        return ExitCode::from(USAGE_EXIT);
+    };
+    let settings = match NodeSettings::read(&path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("{}: {fault}", path.display());
+            return ExitCode::from(USAGE_EXIT);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: ok", path.display());
+        return ExitCode::SUCCESS;
+    }
+    // The guard writes queued lines when the process ends.
+    let (logger, guard) = gateway_logger(&settings.name);
+    let code = run_process(run_gateway(settings, logger));
+    drop(guard);
+    code
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -0,0 +1,86 @@
+//! A caller's request as it came, and what the configuration says of it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cowslip_adapter::CallerHeaders;
+use cowslip_entry::{FleetConfig, RouteRule, TeamRule};
+use cowslip_units::{ClockTime, ErrorKind};
+use http::{HeaderMap, Method};
+use smol_str::SmolStr;
+
+use crate::gateway_state::Gateway;
+use crate::request_refusal::RequestRefusal;
+
+/// Time in ms by which a key's check must be fresher than the time in which withdrawn keys stop.
+const REVOKE_MARGIN_MS: u64 = 300;
+
+/// Age in ms of the view from which an unknown key or route may be one that came since.
+const OLD_VIEW_MS: u64 = 2_000;
+
+/// A request.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestContext {
+    /// Its method.
+    pub method: Method,
+    /// Its path.
+    pub path: SmolStr,
+    /// Path and query as they came.
+    pub target: SmolStr,
+    /// Host that the caller named, in lower case without a port.
+    pub host: SmolStr,
+    /// Headers that an upstream gets.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// What the headers ask for.
+    pub caller: CallerHeaders,
+    /// When it was read.
+    pub arrived_at: ClockTime,
+}
+
+/// A request that the configuration in force allows.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmittedRequest {
+    /// The configuration.
+    pub config: Arc<FleetConfig>,
+    /// The route.
+    pub route: RouteRule,
+    /// The team of the key; `None` on open routes.
+    pub team: Option<TeamRule>,
+}
+
+impl AdmittedRequest {
+    /// Rank of the request; the team's goes before the route's.
+    pub(crate) fn priority(&self) -> u8 {
+        self.team.as_ref().and_then(|team| team.priority).unwrap_or(self.route.priority)
+    }
+}
+
+/// Checks a request against the view of this moment. Called when it arrives and again before each send.
+pub(crate) fn admit(gateway: &Gateway, context: &RequestContext) -> Result<AdmittedRequest, RequestRefusal> {
+    let now = gateway.now();
+    let state = gateway.lock();
+    let Some(config) = state.view.config().cloned() else {
+        return Err(RequestRefusal::new(ErrorKind::ViewStale));
+    };
+    let age_ms = state.view.age_ms(now).unwrap_or(u64::MAX);
+    drop(state);
+    let unknown = |kind: ErrorKind| {
+        RequestRefusal::new(if age_ms >= OLD_VIEW_MS { ErrorKind::ViewStale } else { kind })
+    };
+    let Some(route) = config.route(&context.host, &context.path).cloned() else {
+        return Err(unknown(ErrorKind::RouteNotFound));
+    };
+    let team = if route.open || config.teams().is_empty() {
+        None
+    } else {
+        let fresh_ms = gateway.settings.revoke_ms.saturating_sub(REVOKE_MARGIN_MS);
+        if age_ms >= fresh_ms {
+            return Err(RequestRefusal::new(ErrorKind::ViewStale));
+        }
+        let key = context.caller.key.as_ref().ok_or_else(|| unknown(ErrorKind::KeyMissing))?;
+        Some(config.team_of_key(key).cloned().ok_or_else(|| unknown(ErrorKind::KeyUnknown))?)
+    };
+    Ok(AdmittedRequest { config, route, team })
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -0,0 +1,187 @@
+//! A request's way through the gateway: intake, route and key, tokens, dispatch.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_adapter::{CallerHeaders, passes_to_upstream};
+use cowslip_entry::{ALONE_AFTER_MS, PurseStep, RouteKind, TeamRule, WaitLimit};
+use cowslip_units::{ClockTime, ErrorKind};
+use http::header::HOST;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use slog::info;
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use crate::answer_body::AnswerBody;
+use crate::dispatch::dispatch;
+use crate::gateway_metrics::OutcomeLabels;
+use crate::gateway_state::Gateway;
+use crate::request_context::{RequestContext, admit};
+use crate::request_refusal::RequestRefusal;
+
+/// Longest time in ms that a request waits for its team's tokens.
+const TOKEN_WAIT_MS: u64 = 450;
+
+/// Pause in ms between two looks at the team's tokens.
+const TOKEN_LOOK_MS: u64 = 25;
+
+/// Names of the kinds of routes in metrics.
+pub(crate) const fn kind_name(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "non_idempotent",
+        RouteKind::Streaming => "streaming",
+    }
+}
+
+/// Serves a request to its answer.
+pub(crate) async fn serve_request(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived_at = gateway.now();
+    let caller = CallerHeaders::read(request.headers());
+    let attempt = caller.attempt.clone();
+    match flow(gateway, request, caller, arrived_at).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            let outcome = refusal.kind.as_str();
+            gateway.metrics.requests.get_or_create(&OutcomeLabels { kind: "refused", outcome }).inc();
+            if gateway.may_log() {
+                let now = gateway.now();
+                let (age_ms, version) = {
+                    let state = gateway.lock();
+                    (state.view.age_ms(now), state.view.config().map(|config| config.version()))
+                };
+                info!(gateway.logger, "request_refused"; "request" => %attempt, "outcome" => outcome,
+                    "retry_after_ms" => refusal.retry_after_ms, "held_ms" => now.since_ms(arrived_at),
+                    "view_age_ms" => age_ms, "config" => version);
+            }
+            refusal.response()
+        }
+    }
+}
+
+async fn flow(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    caller: CallerHeaders,
+    arrived_at: ClockTime,
+) -> Result<Response<AnswerBody>, RequestRefusal> {
+    let (parts, body) = request.into_parts();
+    let target = parts.uri.path_and_query().map(|target| target.as_str()).unwrap_or("/");
+    let mut context = RequestContext {
+        method: parts.method,
+        path: SmolStr::new(parts.uri.path()),
+        target: SmolStr::new(target),
+        host: host_name(&parts.headers),
+        headers: forwarded(&parts.headers),
+        body: Bytes::new(),
+        caller,
+        arrived_at,
+    };
+    let limits = gateway.lock().view.config().map(|config| config.limits()).unwrap_or_default();
+    context.body = read_body(body, limits.body_bytes).await?;
+    let admitted = admit(gateway, &context)?;
+    let limit = WaitLimit::new(&admitted.route, context.caller.deadline_ms, arrived_at);
+    let charge = match &admitted.team {
+        Some(team) if team.limited() => {
+            let charge = team.charge(context.caller.tokens);
+            reserve_tokens(gateway, team, charge, &limit).await?;
+            Some((team.name.clone(), charge))
+        }
+        _ => None,
+    };
+    let outcome = dispatch(gateway, &context, admitted, limit).await;
+    if let (Err(refusal), Some((team, charge))) = (&outcome, charge)
+        && refusal.kind.answer().status != 502
+        && refusal.kind.answer().status != 504
+    {
+        let now = gateway.now();
+        gateway.lock().team_tokens(&team, now).purse.give_back(charge);
+    }
+    outcome
+}
+
+fn host_name(headers: &HeaderMap) -> SmolStr {
+    let text = headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    SmolStr::new(text.split(':').next().unwrap_or_default().to_lowercase())
+}
+
+/// The headers that an upstream gets: all but those of one connection and those that are the system's to set.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<SmolStr> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(|name| SmolStr::new(name.trim().to_lowercase()))
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if passes_to_upstream(name) && !named.iter().any(|named| named == name.as_str()) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, RequestRefusal> {
+    match Limited::new(body, most).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(RequestRefusal::new(ErrorKind::BodyTooLarge)),
+        Err(_) => Err(RequestRefusal::new(ErrorKind::BodyIncomplete)),
+    }
+}
+
+/// Takes the tokens of a request, waiting a little for the leader's grant.
+async fn reserve_tokens(
+    gateway: &Gateway,
+    team: &TeamRule,
+    charge: u64,
+    limit: &WaitLimit,
+) -> Result<(), RequestRefusal> {
+    let begun_at = gateway.now();
+    let mut counted = false;
+    let outcome = loop {
+        let now = gateway.now();
+        let notified = gateway.changed.notified();
+        {
+            let mut state = gateway.lock();
+            let heard = state.leader_heard_at;
+            let alone = heard.is_none_or(|at| now.since_ms(at) >= ALONE_AFTER_MS);
+            let tokens = state.team_tokens(&team.name, now);
+            let step = tokens.purse.reserve(charge, alone, now);
+            if step == PurseStep::Taken {
+                break Ok(());
+            }
+            let refused_ms = tokens.refused_until.since_ms(now);
+            let waited_ms = now.since_ms(begun_at);
+            if counted && refused_ms + waited_ms > TOKEN_WAIT_MS {
+                break Err(RequestRefusal::new(ErrorKind::RateLimited)
+                    .with_retry_after(limit.retry_after_ms(refused_ms, now)));
+            }
+            if waited_ms >= TOKEN_WAIT_MS {
+                break Err(RequestRefusal::new(ErrorKind::RateLimited)
+                    .with_retry_after(limit.retry_after_ms(TOKEN_WAIT_MS, now)));
+            }
+            if !counted {
+                counted = true;
+                tokens.short += charge;
+                gateway.report_now.notify_one();
+            }
+        }
+        // A wake-up that comes too late only means another look.
+        let _ = timeout(Duration::from_millis(TOKEN_LOOK_MS), notified).await;
+    };
+    if counted {
+        let now = gateway.now();
+        let mut state = gateway.lock();
+        let tokens = state.team_tokens(&team.name, now);
+        tokens.short = tokens.short.saturating_sub(charge);
+    }
+    outcome
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -0,0 +1,305 @@
+//! Follows the store's tables, and takes copies from other gateways.
+
+use std::sync::Arc;
+
+use cowslip_adapter::{
+    FeedOutcome, OPERATOR_TABLE, StoreRow, StoreRows, UPSTREAM_TABLE, operator_change, upstream_entry,
+};
+use cowslip_entry::{CopiedRow, OperatorChange, ViewCopy, ViewOutcome};
+use cowslip_platform::PlatformError;
+use cowslip_units::{ClockTime, UpstreamId};
+use slog::{info, warn};
+
+use crate::gateway_metrics::OutcomeLabels;
+use crate::gateway_state::{Gateway, GatewayState};
+
+/// Wait in ms of a call that follows the operators' table. The view's age is at most this and a call's time.
+const OPERATOR_WAIT_MS: u64 = 1_500;
+
+/// Wait in ms of a call that follows the upstreams' table.
+const UPSTREAM_WAIT_MS: u64 = 2_500;
+
+/// First and longest pause in ms after a failed call.
+const PAUSE_MS: (u64, u64) = (60, 400);
+
+/// Time in ms after the store's last failure during which vanished entries may have lapsed with it.
+const TROUBLE_MS: u64 = 2_500;
+
+/// Which table a loop follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FollowedTable {
+    /// The operators' table.
+    Operators,
+    /// The upstreams' table.
+    Upstreams,
+}
+
+impl FollowedTable {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Operators => OPERATOR_TABLE,
+            Self::Upstreams => UPSTREAM_TABLE,
+        }
+    }
+
+    const fn wait_ms(self) -> u64 {
+        match self {
+            Self::Operators => OPERATOR_WAIT_MS,
+            Self::Upstreams => UPSTREAM_WAIT_MS,
+        }
+    }
+}
+
+/// Follows a table for as long as the process runs.
+pub(crate) async fn follow_table(gateway: Arc<Gateway>, table: FollowedTable) {
+    let mut version: Option<u64> = None;
+    let mut pause_ms = PAUSE_MS.0;
+    let mut lost = false;
+    loop {
+        let sent_at = gateway.now();
+        let result = match version {
+            None => read_all(&gateway, table, sent_at).await,
+            Some(after) => follow_once(&gateway, table, after, sent_at).await,
+        };
+        match result {
+            Ok(next) => {
+                if lost {
+                    info!(gateway.logger, "store_regained"; "table" => table.name(), "version" => next);
+                    lost = false;
+                }
+                version = next;
+                pause_ms = PAUSE_MS.0;
+            }
+            Err(error) => {
+                gateway.lock().store_failed_at = Some(gateway.now());
+                if !lost {
+                    warn!(gateway.logger, "store_lost"; "table" => table.name(), "error" => %error,
+                        "version" => version);
+                    lost = true;
+                }
+                gateway.clock.sleep_ms(pause_ms).await;
+                pause_ms = (pause_ms * 2).min(PAUSE_MS.1);
+            }
+        }
+    }
+}
+
+fn count(gateway: &Gateway, kind: &'static str, failed: bool) {
+    let outcome = if failed { "failed" } else { "ok" };
+    gateway.metrics.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+}
+
+async fn read_all(
+    gateway: &Arc<Gateway>,
+    table: FollowedTable,
+    sent_at: ClockTime,
+) -> Result<Option<u64>, PlatformError> {
+    let result = gateway.store.read_table(table.name()).await;
+    count(gateway, "read_table", result.is_err());
+    let rows = result?;
+    gateway.metrics.store_s.observe(gateway.now().since_ms(sent_at) as f64 / 1_000.0);
+    let version = rows.version;
+    match table {
+        FollowedTable::Operators => take_operators(gateway, rows, true, sent_at),
+        FollowedTable::Upstreams => take_upstreams(gateway, rows, true),
+    }
+    Ok(Some(version))
+}
+
+async fn follow_once(
+    gateway: &Arc<Gateway>,
+    table: FollowedTable,
+    after: u64,
+    sent_at: ClockTime,
+) -> Result<Option<u64>, PlatformError> {
+    let result = gateway.store.follow(table.name(), after, table.wait_ms()).await;
+    count(gateway, "follow", result.is_err());
+    match result? {
+        FeedOutcome::HistoryLost => {
+            info!(gateway.logger, "history_lost"; "table" => table.name(), "version" => after);
+            Ok(None)
+        }
+        FeedOutcome::Changes(rows) => {
+            let version = rows.version.max(after);
+            let rows = StoreRows { rows: rows.rows, version };
+            match table {
+                FollowedTable::Operators => take_operators(gateway, rows, false, sent_at),
+                FollowedTable::Upstreams => take_upstreams(gateway, rows, false),
+            }
+            Ok(Some(version))
+        }
+    }
+}
+
+/// Applies rows of the operators' table that were asked for at `sent_at`.
+fn take_operators(gateway: &Gateway, rows: StoreRows, full: bool, sent_at: ClockTime) {
+    let mut changes: Vec<OperatorChange> = Vec::with_capacity(rows.rows.len());
+    for row in &rows.rows {
+        let (change, fault) = operator_change(row);
+        if let Some(fault) = fault {
+            warn!(gateway.logger, "operator_row_unreadable"; "key" => %row.key, "version" => row.version,
+                "fault" => fault);
+        }
+        changes.push(change);
+    }
+    let now = gateway.now();
+    let mut state = gateway.lock();
+    let before = state.view.version();
+    let version = rows.version;
+    keep_rows(&mut state.operator_rows, rows.rows, full && version >= before);
+    let outcome = if full {
+        state.view.replace(changes, version, sent_at)
+    } else {
+        state.view.apply(changes, version, sent_at)
+    };
+    apply_outcome(gateway, &mut state, &outcome, now);
+    let changed = outcome != ViewOutcome::default();
+    let age_ms = state.view.age_ms(now);
+    drop(state);
+    if changed {
+        info!(gateway.logger, "view_changed"; "store_version" => version, "config" => outcome.config,
+            "evacuated" => format!("{:?}", outcome.evacuated), "taken_back" => format!("{:?}", outcome.taken_back),
+            "age_ms" => age_ms);
+        gateway.changed.notify_waiters();
+    }
+}
+
+fn apply_outcome(gateway: &Gateway, state: &mut GatewayState, outcome: &ViewOutcome, now: ClockTime) {
+    for domain in &outcome.evacuated {
+        if let Err(at) = state.evacuated.binary_search(domain) {
+            state.evacuated.insert(at, domain.clone());
+        }
+    }
+    let config = state.view.config().cloned();
+    for domain in &outcome.taken_back {
+        state.evacuated.retain(|known| known != domain);
+        if let Some(config) = &config {
+            state.book.mark_cold(domain, config.services(), now);
+        }
+    }
+    if let Some(version) = outcome.config {
+        gateway.metrics.config_version.set(version);
+        let members = state.member_count(crate::FALLBACK_MEMBERS);
+        let teams = config.iter().flat_map(|config| config.teams()).filter(|team| team.limited());
+        let rates: Vec<_> = teams.map(|team| (team.name.clone(), team.per_s)).collect();
+        for (team, per_s) in rates {
+            state.team_tokens(&team, now).purse.set_own_part(per_s, members, now);
+        }
+    }
+}
+
+/// Applies rows of the upstreams' table.
+fn take_upstreams(gateway: &Gateway, rows: StoreRows, full: bool) {
+    let now = gateway.now();
+    let mut state = gateway.lock();
+    if rows.version < state.upstream_version {
+        return;
+    }
+    state.upstream_version = rows.version;
+    state.upstreams_known = true;
+    let hold = state.store_failed_at.is_some_and(|at| now.since_ms(at) < TROUBLE_MS);
+    let mut seen: Vec<UpstreamId> = Vec::new();
+    for row in &rows.rows {
+        if row.removed {
+            if let Ok(id) = UpstreamId::new(&row.key) {
+                state.book.remove(&id, hold, now);
+                info!(gateway.logger, "upstream_removed"; "upstream" => %id, "version" => row.version, "held" => hold);
+            }
+            continue;
+        }
+        match upstream_entry(row) {
+            Ok(entry) => {
+                seen.push(entry.id.clone());
+                let (id, draining) = (entry.id.clone(), entry.draining);
+                let models = entry.models.len();
+                let cold_ms = entry.cold_left_ms;
+                let fresh = state.book.put(entry, now);
+                if fresh || draining {
+                    info!(gateway.logger, "upstream_entry"; "upstream" => %id, "version" => row.version,
+                        "draining" => draining, "models" => models, "cold_ms" => cold_ms, "new" => fresh);
+                }
+            }
+            Err(fault) => {
+                warn!(gateway.logger, "upstream_entry_unreadable"; "key" => %row.key, "version" => row.version,
+                    "fault" => fault);
+                // An entry that can no longer be read names no upstream to use.
+                if let Ok(id) = UpstreamId::new(&row.key) {
+                    state.book.remove(&id, false, now);
+                }
+            }
+        }
+    }
+    if full {
+        let gone: Vec<UpstreamId> = state
+            .book
+            .all()
+            .iter()
+            .map(|known| known.entry.id.clone())
+            .filter(|id| !seen.contains(id))
+            .collect();
+        for id in gone {
+            state.book.remove(&id, hold, now);
+            info!(gateway.logger, "upstream_removed"; "upstream" => %id, "version" => rows.version, "held" => hold);
+        }
+    }
+    keep_rows(&mut state.upstream_rows, rows.rows, full);
+    drop(state);
+    gateway.changed.notify_waiters();
+    gateway.lead_now.notify_one();
+}
+
+/// Keeps a table's rows as they are in the store, sorted by key.
+fn keep_rows(kept: &mut Vec<StoreRow>, rows: Vec<StoreRow>, full: bool) {
+    if full {
+        kept.clear();
+    }
+    for row in rows {
+        match kept.binary_search_by(|known| known.key.cmp(&row.key)) {
+            Ok(at) if row.removed => {
+                kept.remove(at);
+            }
+            Ok(at) => kept[at] = row,
+            Err(at) if !row.removed => kept.insert(at, row),
+            Err(_) => {}
+        }
+    }
+}
+
+/// The own tables, for another gateway.
+pub(crate) fn view_copy(state: &GatewayState, now: ClockTime) -> ViewCopy {
+    let copied = |rows: &[StoreRow]| {
+        let copy = |row: &StoreRow| {
+            Some(CopiedRow {
+                key: row.key.clone(),
+                value: String::from_utf8(row.value.to_vec()).ok()?,
+                version: row.version,
+            })
+        };
+        rows.iter().filter_map(copy).collect()
+    };
+    ViewCopy {
+        view: state.stamp(now),
+        operator_rows: copied(&state.operator_rows),
+        upstream_version: state.upstream_version,
+        upstream_rows: copied(&state.upstream_rows),
+    }
+}
+
+/// Takes another gateway's tables; `asked_at` is when it was asked.
+pub(crate) fn take_copy(gateway: &Gateway, copy: ViewCopy, asked_at: ClockTime) {
+    let rows = |rows: Vec<CopiedRow>| {
+        let row = |row: CopiedRow| StoreRow {
+            key: row.key,
+            value: row.value.into(),
+            version: row.version,
+            removed: false,
+        };
+        rows.into_iter().map(row).collect()
+    };
+    let Some(age_ms) = copy.view.age_ms else { return };
+    let operators = StoreRows { rows: rows(copy.operator_rows), version: copy.view.version };
+    let upstreams = StoreRows { rows: rows(copy.upstream_rows), version: copy.upstream_version };
+    info!(gateway.logger, "view_copied"; "store_version" => operators.version, "age_ms" => age_ms);
+    take_operators(gateway, operators, true, asked_at.minus_ms(age_ms));
+    take_upstreams(gateway, upstreams, true);
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -0,0 +1,347 @@
+//! A stream: its first event is awaited before the caller gets an answer, then whole events are passed on as they
+//! come. A stream that breaks is resumed at another upstream from its last event, where the route allows it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cowslip_adapter::event_id;
+use cowslip_units::{ErrorKind, UpstreamId};
+use http::StatusCode;
+use http::header::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use slog::{info, warn};
+use smol_str::SmolStr;
+use tokio::sync::mpsc::{self, Sender};
+use tokio::time::timeout;
+
+use crate::answer_body::{AnswerBody, CutOff};
+use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, choose, may_repeat};
+use crate::gateway_state::Gateway;
+use crate::plain_call::{HeadCheck, caller_answer, check_head, note_answer, put_back};
+use crate::request_context::{AdmittedRequest, RequestContext, admit};
+use crate::upstream_pool::{SendFault, UpstreamConnection};
+use crate::upstream_request::upstream_request;
+
+/// Pieces that wait for a slow caller at most.
+const QUEUED_PIECES: usize = 16;
+
+/// Longest event in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Silence in ms in a stream after which it is resumed elsewhere, where that is allowed.
+const SILENCE_MS: u64 = 1_200;
+
+/// A first event is awaited for so many times the objective, where the request may be repeated.
+const FIRST_FACTOR: u64 = 2;
+
+/// Shortest time in ms that a first event is awaited.
+const LEAST_FIRST_MS: u64 = 1_000;
+
+/// A stream of events from one upstream.
+#[derive(Debug)]
+struct EventSource {
+    upstream: UpstreamId,
+    headers: HeaderMap,
+    status: StatusCode,
+    body: Incoming,
+    connection: UpstreamConnection,
+    /// Bytes of an event that is not whole yet.
+    partial: BytesMut,
+    guard: CallGuard,
+}
+
+/// What came next in a stream.
+enum NextEvents {
+    /// Whole events.
+    Events(Bytes),
+    /// The upstream ended the stream properly.
+    End,
+    /// It broke off or fell silent.
+    Broken(&'static str),
+}
+
+impl EventSource {
+    /// The next whole events, waiting at most `wait_ms` for each piece.
+    async fn next(&mut self, wait_ms: u64) -> NextEvents {
+        loop {
+            let frame = match timeout(Duration::from_millis(wait_ms), self.body.frame()).await {
+                Err(_) => return NextEvents::Broken("silent"),
+                Ok(Some(Err(_))) => return NextEvents::Broken("broken"),
+                Ok(None) if self.partial.is_empty() => return NextEvents::End,
+                Ok(None) => return NextEvents::Broken("partial"),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            self.partial.extend_from_slice(&data);
+            if self.partial.len() > MAX_EVENT_BYTES {
+                return NextEvents::Broken("too long");
+            }
+            if let Some(end) = last_event_end(&self.partial) {
+                return NextEvents::Events(self.partial.split_to(end).freeze());
+            }
+        }
+    }
+}
+
+/// The end of the last whole event.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
+}
+
+/// The id of the last event among whole events.
+fn last_id(events: &[u8]) -> Option<SmolStr> {
+    let body = events.strip_suffix(b"\n\n").unwrap_or(events);
+    let start = body.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
+    event_id(body.get(start..).unwrap_or_default())
+}
+
+/// Opens the stream and answers the caller with its first events.
+pub(crate) async fn stream_call(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    flight: &RequestFlight,
+    upstream: &UpstreamId,
+    guard: CallGuard,
+) -> SendOutcome {
+    let sent_at = gateway.now();
+    let end_ms = flight.limit.end_by.since_ms(sent_at);
+    let again = admitted.route.repeatable() && flight.runs + 1 < admitted.route.max_attempts;
+    let patience_ms = (admitted.route.objective_ms * FIRST_FACTOR).max(LEAST_FIRST_MS);
+    let wait_ms = if again { end_ms.min(patience_ms) } else { end_ms };
+    let opened = async {
+        let mut source = match open(gateway, context, admitted, flight, upstream, guard).await {
+            Ok(source) => source,
+            Err(outcome) => return Err(outcome),
+        };
+        if !source.status.is_success() {
+            return Ok((source, NextEvents::End));
+        }
+        let first = source.next(end_ms).await;
+        Ok((source, first))
+    };
+    let (source, first) = match timeout(Duration::from_millis(wait_ms), opened).await {
+        Ok(Ok(opened)) => opened,
+        Ok(Err(outcome)) => return outcome,
+        Err(_) => return SendOutcome::Lost(ErrorKind::DeadlineExceeded),
+    };
+    let first_ms = gateway.now().since_ms(sent_at);
+    if !source.status.is_success() {
+        return failed_answer(gateway, source, first_ms).await;
+    }
+    match first {
+        NextEvents::Events(events) => {
+            note_answer(gateway, upstream, source.status, &source.headers, first_ms);
+            let (sender, receiver) = mpsc::channel(QUEUED_PIECES);
+            let response = caller_answer(source.status, &source.headers, AnswerBody::Pieces(receiver));
+            let relay = StreamRelay {
+                gateway: Arc::clone(gateway),
+                context: context.clone(),
+                admitted: admitted.clone(),
+                flight: resumed_flight(flight),
+                sender,
+                resumed: false,
+            };
+            tokio::spawn(relay.run(source, events));
+            SendOutcome::Answered(response)
+        }
+        NextEvents::End => {
+            note_answer(gateway, upstream, source.status, &source.headers, first_ms);
+            let response = caller_answer(source.status, &source.headers, AnswerBody::whole(""));
+            put_back(gateway, source.connection, &source.headers);
+            SendOutcome::Answered(response)
+        }
+        NextEvents::Broken(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
+    }
+}
+
+fn resumed_flight(flight: &RequestFlight) -> RequestFlight {
+    RequestFlight {
+        need: flight.need.clone(),
+        limit: flight.limit,
+        tried: flight.tried.clone(),
+        runs: flight.runs + 1,
+        refused: flight.refused,
+        unreached: flight.unreached,
+        last_event: flight.last_event.clone(),
+    }
+}
+
+/// Sends the request and checks the head of the answer.
+async fn open(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    flight: &RequestFlight,
+    upstream: &UpstreamId,
+    guard: CallGuard,
+) -> Result<EventSource, SendOutcome> {
+    let now = gateway.now();
+    let address = gateway.lock().book.get(upstream).map(|known| known.entry.address);
+    let address = address.ok_or(SendOutcome::NotSent)?;
+    let last_event = flight.last_event.as_deref();
+    let request = upstream_request(context, admitted, &flight.limit, upstream, last_event, now);
+    let request = request.map_err(|_| SendOutcome::NotSent)?;
+    let (response, connection) = match gateway.pool.send(address, request).await {
+        Ok(answer) => answer,
+        Err(SendFault::NotSent(_)) => return Err(SendOutcome::NotSent),
+        Err(SendFault::Broken(_)) => return Err(SendOutcome::Lost(ErrorKind::UpstreamFailed)),
+    };
+    let (parts, body) = response.into_parts();
+    match check_head(context, parts.status, &parts.headers) {
+        HeadCheck::NotRun(misplaced) => {
+            if body.collect().await.is_ok() {
+                put_back(gateway, connection, &parts.headers);
+            }
+            Err(SendOutcome::NotRun(misplaced))
+        }
+        HeadCheck::Foreign => {
+            connection.close();
+            Err(SendOutcome::Lost(ErrorKind::UpstreamGarbled))
+        }
+        HeadCheck::Sound => Ok(EventSource {
+            upstream: upstream.clone(),
+            headers: parts.headers,
+            status: parts.status,
+            body,
+            connection,
+            partial: BytesMut::new(),
+            guard,
+        }),
+    }
+}
+
+/// An upstream's own failure, read whole.
+async fn failed_answer(gateway: &Arc<Gateway>, source: EventSource, first_ms: u64) -> SendOutcome {
+    let EventSource { upstream, headers, status, body, connection, guard, .. } = source;
+    drop(guard);
+    note_answer(gateway, &upstream, status, &headers, first_ms);
+    match body.collect().await {
+        Ok(body) => {
+            put_back(gateway, connection, &headers);
+            SendOutcome::Failure(caller_answer(status, &headers, AnswerBody::whole(body.to_bytes())))
+        }
+        Err(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
+    }
+}
+
+/// Passes a stream on to its caller.
+struct StreamRelay {
+    gateway: Arc<Gateway>,
+    context: RequestContext,
+    admitted: AdmittedRequest,
+    flight: RequestFlight,
+    sender: Sender<Result<Bytes, CutOff>>,
+    resumed: bool,
+}
+
+impl StreamRelay {
+    async fn run(mut self, source: EventSource, first: Bytes) {
+        let sender = self.sender.clone();
+        let left = sender.closed();
+        tokio::select! {
+            () = self.relay(source, first) => {}
+            // The caller left: dropping the source closes the upstream's connection.
+            () = left => {
+                if self.gateway.may_log() {
+                    info!(self.gateway.logger, "caller_left"; "request" => %self.context.caller.attempt);
+                }
+            }
+        }
+    }
+
+    async fn relay(&mut self, source: EventSource, first: Bytes) {
+        let mut source = source;
+        let mut events = first;
+        loop {
+            if let Some(id) = last_id(&events) {
+                self.flight.last_event = Some(id);
+            }
+            if self.sender.send(Ok(events)).await.is_err() {
+                return;
+            }
+            events = loop {
+                match source.next(self.wait_ms()).await {
+                    NextEvents::Events(events) => break events,
+                    NextEvents::End => {
+                        self.end(source);
+                        return;
+                    }
+                    NextEvents::Broken(why) => match self.resume(source, why).await {
+                        Some(next) => source = next,
+                        None => {
+                            // The caller sees that its answer is not complete.
+                            drop(self.sender.send(Err(CutOff)).await);
+                            return;
+                        }
+                    },
+                }
+            };
+        }
+    }
+
+    /// How long the next piece is awaited.
+    fn wait_ms(&self) -> u64 {
+        let left_ms = self.flight.limit.end_by.since_ms(self.gateway.now());
+        let again = self.admitted.route.repeatable() && self.flight.runs < self.admitted.route.max_attempts;
+        if again { left_ms.min(SILENCE_MS) } else { left_ms }
+    }
+
+    fn end(&self, source: EventSource) {
+        let EventSource { upstream, headers, connection, guard, .. } = source;
+        drop(guard);
+        put_back(&self.gateway, connection, &headers);
+        if self.gateway.may_log() {
+            let after_ms = self.gateway.now().since_ms(self.context.arrived_at);
+            info!(self.gateway.logger, "stream_ended"; "request" => %self.context.caller.attempt,
+                "upstream" => %upstream, "resumed" => self.resumed, "after_ms" => after_ms);
+        }
+    }
+
+    /// Goes on at another upstream from the last event.
+    async fn resume(&mut self, source: EventSource, why: &'static str) -> Option<EventSource> {
+        let gateway = Arc::clone(&self.gateway);
+        let now = gateway.now();
+        let upstream = source.upstream.clone();
+        source.connection.close();
+        drop(source.guard);
+        if let Some(known) = gateway.lock().book.get_mut(&upstream) {
+            known.failed(now);
+        }
+        self.flight.tried.push(upstream.clone());
+        let resumes =
+            self.flight.last_event.is_some() && may_repeat(&gateway, &self.admitted, &self.flight, now);
+        if gateway.may_log() {
+            warn!(gateway.logger, "stream_broken"; "request" => %self.context.caller.attempt,
+                "upstream" => %upstream, "why" => why, "resumes" => resumes,
+                "last_event" => self.flight.last_event.as_deref(), "runs" => self.flight.runs);
+        }
+        if !resumes {
+            return None;
+        }
+        self.resumed = true;
+        self.flight.limit.begin_by = self.flight.limit.end_by;
+        loop {
+            let admitted = admit(&gateway, &self.context).ok()?;
+            let (chosen, admitted) =
+                choose(&gateway, &self.context, admitted, &mut self.flight).await.ok()?;
+            let guard = CallGuard::new(&gateway, &chosen, self.flight.need.model.as_ref());
+            match open(&gateway, &self.context, &admitted, &self.flight, &chosen, guard).await {
+                Ok(source) if source.status.is_success() => {
+                    gateway.metrics.resumes.inc();
+                    self.flight.runs += 1;
+                    return Some(source);
+                }
+                Err(SendOutcome::NotSent) if self.flight.unreached < 3 => {
+                    self.flight.unreached += 1;
+                    if let Some(known) = gateway.lock().book.get_mut(&chosen) {
+                        known.unreachable(gateway.clock.now());
+                    }
+                }
+                Ok(_) | Err(_) => return None,
+            }
+        }
+    }
+}
--- a/crates/cowslip-platform/src/http_caller.rs
+++ b/crates/cowslip-platform/src/http_caller.rs
@@ -27,7 +27,7 @@
 
 /// Whether a call may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallKind {
+pub enum CallKind {
     /// Changes nothing; repeated once when its connection fails.
     Read,
     /// May have taken effect when its connection fails; never repeated.
@@ -36,22 +36,22 @@
 
 /// What a call sends.
 #[derive(Clone, Debug)]
-pub(crate) struct CallRequest {
+pub struct CallRequest {
     /// Whether it may be repeated.
-    pub(crate) kind: CallKind,
+    pub kind: CallKind,
     /// HTTP method.
-    pub(crate) method: Method,
+    pub method: Method,
     /// Absolute URI.
-    pub(crate) uri: String,
+    pub uri: String,
     /// Body; empty for none.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
     /// Content type of the body.
-    pub(crate) content_type: &'static str,
+    pub content_type: &'static str,
 }
 
 /// Makes calls over pooled connections.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpCaller {
+pub struct HttpCaller {
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -64,7 +64,7 @@
 
 impl HttpCaller {
     /// A caller with an empty pool.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         // The library repeats unsent requests on its own by default; writes must not be repeated here.
@@ -77,7 +77,24 @@
     }
 
     /// Makes the call and returns status and body when the service carried it out (2xx) or answered 404.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    /// [`PlatformError`] when the call was refused, was not answered, or was answered with a failure.
+    pub async fn call(
+        &self,
+        call: CallRequest,
+        timeout_ms: u64,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let (status, body) = self.call_any(call, timeout_ms).await?;
+        check_status(status, &body)?;
+        Ok((status, body))
+    }
+
+    /// Makes the call and returns status and body of any whole answer.
+    ///
+    /// # Errors
+    /// [`PlatformError`] when there was no whole answer.
+    pub async fn call_any(
         &self,
         call: CallRequest,
         timeout_ms: u64,
@@ -128,11 +145,16 @@
                 return Err(FailedAttempt::new(PlatformError::InDoubt(message)));
             }
         };
-        check_status(status, &body).map_err(FailedAttempt::new)?;
         Ok((status, body))
     }
 }
 
+impl Default for HttpCaller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl FailedAttempt {
     fn new(error: PlatformError) -> Self {
         Self { error, connection_failed: false }
--- a/crates/cowslip-platform/src/lib.rs
+++ b/crates/cowslip-platform/src/lib.rs
@@ -18,6 +18,7 @@
     AdapterOrder, CacheEvent, CheckpointTier, EngineOrders, EngineReport, EngineRole, LoadOrder, LoadedModel,
     OrderReply, RoleOrder, UnloadOrder,
 };
+pub use http_caller::{CallKind, CallRequest, HttpCaller};
 pub use object_store::ObjectStore;
 pub use platform_client::PlatformClient;
 pub use platform_error::PlatformError;
--- a/crates/cowslip-rpc/src/lib.rs
+++ b/crates/cowslip-rpc/src/lib.rs
@@ -1,14 +1,16 @@
-//! JSON-RPC interfaces of the router and the controller.
+//! JSON-RPC interfaces of the router, the controller and the gateway.
 //!
 //! `jsonrpsee` boxes its method handlers inside; that is the library's own `dyn`, and none of it is on the way
 //! of a request that needs no share from another router.
 
 mod controller_api;
 mod fault_codec;
+mod gateway_api;
 mod router_api;
 mod rpc_client;
 
 pub use controller_api::{ControllerApiClient, ControllerApiServer};
 pub use fault_codec::{error_from_fault, fault_from_error};
+pub use gateway_api::{GatewayApiClient, GatewayApiServer};
 pub use router_api::{RouterApiClient, RouterApiServer};
 pub use rpc_client::{CallError, connect};
--- a/crates/cowslip-runtime/src/process_clock.rs
+++ b/crates/cowslip-runtime/src/process_clock.rs
@@ -1,25 +1,28 @@
-//! The one place where a process reads its monotonic clock.
+//! The one place where a process reads its clock.
+//!
+//! The clock counts the time during which a VM is suspended (`CLOCK_BOOTTIME`). `std::time::Instant` does not, so a
+//! lease or a confirmation would look fresh to a process that wakes up after its VM was suspended.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cowslip_units::ClockTime;
+use rustix::time::{ClockId, clock_gettime};
 
-/// A process's monotonic clock; starts near zero.
+/// A process's steady clock; starts near zero.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    start: Instant,
+    start_ms: u64,
 }
 
 impl ProcessClock {
     /// A clock that starts now.
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self { start_ms: boot_ms() }
     }
 
     /// The present point.
     pub fn now(&self) -> ClockTime {
-        let elapsed = self.start.elapsed().as_millis();
-        ClockTime::new(u64::try_from(elapsed).unwrap_or(u64::MAX))
+        ClockTime::new(boot_ms().saturating_sub(self.start_ms))
     }
 
     /// Sleeps for `millis` milliseconds.
@@ -39,3 +42,11 @@
         Self::new()
     }
 }
+
+/// Milliseconds since the machine started, suspension included.
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    seconds.saturating_mul(1_000).saturating_add(nanos / 1_000_000)
+}
--- a/crates/cowslip-units/src/lib.rs
+++ b/crates/cowslip-units/src/lib.rs
@@ -28,8 +28,8 @@
 pub use promise_name::PromiseName;
 pub use run_state::RunState;
 pub use text_id::{
-    AttemptId, ChangeId, DomainId, IncarnationId, ModelId, OrderId, ReportId, RequestId, RouteId, TeamId,
-    UpstreamId, VmId,
+    AttemptId, ChangeId, DomainId, IncarnationId, ModelId, OrderId, ReportId, RequestId, RouteId, ServiceId,
+    TeamId, UpstreamId, VmId,
 };
 pub use token_count::TokenCount;
 pub use token_rate::TokenRate;
--- a/crates/cowslip-units/src/text_id.rs
+++ b/crates/cowslip-units/src/text_id.rs
@@ -91,6 +91,11 @@
     UpstreamId,
     "upstream"
 );
+text_id!(
+    /// A service: upstreams that serve the same requests.
+    ServiceId,
+    "service"
+);
 text_id!(
     /// A failure domain.
     DomainId,
