planner: the order count comes from the engine's report alone

Change: entries carry no count; while a load is under way an entry counts only once it lists the loaded model.

--- a/crates/cowslip-entry/src/adapter_plan.rs
+++ b/crates/cowslip-entry/src/adapter_plan.rs
@@ -145,7 +145,7 @@
         upstream: engine.entry.id.clone(),
         address: engine.entry.address,
         action,
-        expected_orders: engine.entry.orders,
+        expected_orders: engine.orders,
     })
 }
 
@@ -175,7 +175,7 @@
     match answer {
         OrderAnswer::Started | OrderAnswer::Holds => {
             if answer == OrderAnswer::Started || matches!(order.action, EngineAction::UnloadAdapter(..)) {
-                engine.entry.orders = order.expected_orders + 1;
+                engine.orders = order.expected_orders + 1;
             }
             match &order.action {
                 EngineAction::LoadAdapter(model, name) => {
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -383,7 +383,7 @@
                 upstream: engine.entry.id.clone(),
                 address: engine.entry.address,
                 action,
-                expected_orders: engine.entry.orders,
+                expected_orders: engine.orders,
             }));
         }
     }
@@ -443,7 +443,7 @@
     match answer {
         OrderAnswer::Started | OrderAnswer::Holds => {
             if answer == OrderAnswer::Started {
-                engine.entry.orders = order.expected_orders + 1;
+                engine.orders = order.expected_orders + 1;
             }
             task.conflicts = 0;
             match &order.action {
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -43,6 +43,8 @@
 pub struct PlannedEngine {
     /// Its entry, with what orders have changed since.
     pub entry: UpstreamEntry,
+    /// Orders that it has accepted since its start.
+    pub orders: u64,
     /// When each held model was loaded, for those that the leader loaded.
     pub(crate) loaded_at: Vec<(ModelId, ClockTime)>,
     pub(crate) task: Option<EngineTask>,
@@ -54,6 +56,8 @@
     pub(crate) asking: bool,
     /// True once its status was read by this leader.
     pub(crate) known: bool,
+    /// Models as the entry last listed them.
+    entry_models: Vec<HeldModel>,
     /// Adapters on their way, with the time at which they should be there.
     pub(crate) pending: Vec<(ModelId, SmolStr, ClockTime)>,
     /// True while its domain is evacuated or it drains.
@@ -64,6 +68,7 @@
     pub(crate) fn new(entry: UpstreamEntry, now: ClockTime) -> Self {
         Self {
             entry,
+            orders: 0,
             loaded_at: Vec::new(),
             task: None,
             adapter_sent: None,
@@ -71,6 +76,7 @@
             ask_at: Some(now),
             asking: false,
             known: false,
+            entry_models: Vec::new(),
             pending: Vec::new(),
             closed: false,
         }
@@ -82,54 +88,59 @@
             *self = Self::new(entry, now);
             return;
         }
-        let newer = entry.orders >= self.entry.orders;
         self.entry.draining = entry.draining;
         self.entry.cold_left_ms = entry.cold_left_ms;
-        if newer {
-            self.entry.in_memory = entry.in_memory;
-            self.entry.on_disk = entry.on_disk;
-            self.set_models(entry.models, entry.orders, now);
+        self.entry.in_memory = entry.in_memory;
+        self.entry.on_disk = entry.on_disk;
+        // An entry does not tell which orders it includes. While a change is under way it counts only once it lists
+        // the model that is loaded.
+        let told = match &self.task {
+            None => self.known,
+            Some(task) => entry.models.iter().any(|held| held.name == task.model),
+        };
+        if told && entry.models != self.entry_models {
+            self.entry_models = entry.models.clone();
+            let adapters = std::mem::replace(&mut self.entry.models, entry.models);
+            self.keep_adapters(adapters);
+            self.finish_load(now);
         }
     }
 
-    /// Takes the models that the engine says it holds after `orders` orders.
-    fn set_models(&mut self, models: Vec<HeldModel>, orders: u64, now: ClockTime) {
-        let loading = self.task.as_ref().map(|task| task.model.clone());
-        let arrived = loading.filter(|model| models.iter().any(|held| held.name == *model));
-        if let Some(model) = arrived {
+    /// Adapters loaded since the entry was written count until a status says otherwise.
+    fn keep_adapters(&mut self, before: Vec<HeldModel>) {
+        for old in before {
+            let Some(held) = self.entry.models.iter_mut().find(|held| held.name == old.name) else { continue };
+            for adapter in old.adapters {
+                if !held.adapters.contains(&adapter) {
+                    held.adapters.push(adapter);
+                }
+            }
+        }
+    }
+
+    /// Ends the change under way if its model is held.
+    fn finish_load(&mut self, now: ClockTime) {
+        let Some(model) = self.task.as_ref().map(|task| task.model.clone()) else { return };
+        if self.entry.holds(&model) {
             self.task = None;
             self.loaded_at.retain(|(known, _)| *known != model);
             self.loaded_at.push((model, now));
         }
-        if orders >= self.entry.orders {
-            let adapters = std::mem::take(&mut self.entry.models);
-            self.entry.models = models;
-            // An entry may be older than the adapters loaded since; they count until a status says otherwise.
-            for old in adapters {
-                if let Some(held) = self.entry.models.iter_mut().find(|held| held.name == old.name) {
-                    for adapter in old.adapters {
-                        if !held.adapters.contains(&adapter) {
-                            held.adapters.push(adapter);
-                        }
-                    }
-                }
-            }
-            self.entry.orders = orders;
-        }
     }
 
     /// Takes the engine's own status.
     pub(crate) fn status(&mut self, status: EngineStatus, now: ClockTime) {
         self.asking = false;
-        if status.born != self.entry.born || status.orders < self.entry.orders {
+        if status.born != self.entry.born || status.orders < self.orders {
             // Older than the last accepted order, or another start whose entry is yet to come.
             self.ask_at = Some(now.plus_ms(STATUS_RETRY_MS));
             return;
         }
         self.known = true;
         self.ask_at = None;
-        self.entry.models.clear();
-        self.set_models(status.models, status.orders, now);
+        self.orders = status.orders;
+        self.entry.models = status.models;
+        self.finish_load(now);
         self.pending = status.pending.into_iter().map(|(model, name)| (model, name, now)).collect();
         if status.busy {
             if self.task.is_none()
--- a/crates/cowslip-entry/src/upstream_entry.rs
+++ b/crates/cowslip-entry/src/upstream_entry.rs
@@ -37,8 +37,6 @@
     pub in_memory: Vec<ModelId>,
     /// Models whose weights lie on its disk.
     pub on_disk: Vec<ModelId>,
-    /// Number of orders accepted since its start.
-    pub orders: u64,
     /// Unix time in ms of its start; tells two starts under one id apart.
     pub born: u64,
 }
