planner: an upstream's entry is a hint, its status decides

Ruled out: orders carried out late (the order was the first of its count). Change: an entry whose list differs from what is known only makes the leader ask; the answer decides. The leader logs each status.

--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -92,29 +92,16 @@
         self.entry.cold_left_ms = entry.cold_left_ms;
         self.entry.in_memory = entry.in_memory;
         self.entry.on_disk = entry.on_disk;
-        // An entry does not tell which orders it includes. While a change is under way it counts only once it lists
-        // the model that is loaded.
-        let told = match &self.task {
-            None => self.known,
-            Some(task) => entry.models.iter().any(|held| held.name == task.model),
+        // An entry does not tell which orders it includes, and may be older than the last status. A list that differs
+        // from what is known is a reason to ask.
+        let news = entry.models != self.entry_models;
+        self.entry_models = entry.models;
+        let waits = match &self.task {
+            None => true,
+            Some(task) => matches!(task.stage, TaskStage::Loading(_)) && holds(&self.entry_models, &task.model),
         };
-        if told && entry.models != self.entry_models {
-            self.entry_models = entry.models.clone();
-            let adapters = std::mem::replace(&mut self.entry.models, entry.models);
-            self.keep_adapters(adapters);
-            self.finish_load(now);
-        }
-    }
-
-    /// Adapters loaded since the entry was written count until a status says otherwise.
-    fn keep_adapters(&mut self, before: Vec<HeldModel>) {
-        for old in before {
-            let Some(held) = self.entry.models.iter_mut().find(|held| held.name == old.name) else { continue };
-            for adapter in old.adapters {
-                if !held.adapters.contains(&adapter) {
-                    held.adapters.push(adapter);
-                }
-            }
+        if news && waits && self.known && !same_models(&self.entry_models, &self.entry.models) {
+            self.ask_at = self.ask_at.or(Some(now));
         }
     }
 
@@ -204,6 +191,15 @@
     }
 }
 
+fn holds(models: &[HeldModel], model: &ModelId) -> bool {
+    models.iter().any(|held| held.name == *model)
+}
+
+/// True when both lists name the same models.
+fn same_models(left: &[HeldModel], right: &[HeldModel]) -> bool {
+    left.len() == right.len() && left.iter().all(|held| holds(right, &held.name))
+}
+
 /// Time in ms until the status is asked for again after one that was too old.
 const STATUS_RETRY_MS: u64 = 120;
 
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -183,6 +183,7 @@
     match step {
         PlanStep::Ask(upstream, address) => {
             let status = ask(&gateway, &upstream, address).await;
+            log_status(&gateway, &upstream, status.as_ref());
             if let Some(lead) = gateway.lock().lead.as_mut() {
                 lead.planner.status(&upstream, status, gateway.clock.now());
             }
@@ -206,6 +207,17 @@
     gateway.lead_now.notify_one();
 }
 
+fn log_status(gateway: &Gateway, upstream: &UpstreamId, status: Option<&EngineStatus>) {
+    match status {
+        Some(status) => {
+            let models: Vec<&str> = status.models.iter().map(|held| held.name.as_str()).collect();
+            info!(gateway.logger, "engine_status"; "upstream" => %upstream, "models" => models.join(" "),
+                "busy" => status.busy, "orders" => status.orders, "born" => status.born);
+        }
+        None => warn!(gateway.logger, "engine_silent"; "upstream" => %upstream),
+    }
+}
+
 const fn action_name(order: &EngineOrder) -> &'static str {
     use cowslip_entry::EngineAction;
     match order.action {
