gateway: a stopping process takes no new connections and refuses what it could not finish

Change: the listener closes with the idle connections, later requests are refused as not run, and waiting ones are refused at half of the grace.

--- a/crates/cowslip-gateway/src/caller_server.rs
+++ b/crates/cowslip-gateway/src/caller_server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cowslip_adapter::header_names::READY_PATH;
+use cowslip_units::ErrorKind;
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -19,6 +20,7 @@
 use crate::answer_body::AnswerBody;
 use crate::gateway_state::Gateway;
 use crate::request_flow::serve_request;
+use crate::request_refusal::RequestRefusal;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -40,10 +42,16 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves callers until the process ends.
+/// Serves callers until their connections are to be closed. What comes later could not be answered before the process
+/// ends.
 pub(crate) async fn serve_callers(gateway: Arc<Gateway>, listener: TcpListener) {
+    let mut closing = gateway.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_caller(Arc::clone(&gateway), stream));
             }
@@ -87,11 +95,16 @@
 }
 
 async fn answer_caller(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    if *gateway.closing.borrow() {
+        let mut response = RequestRefusal::new(ErrorKind::Draining).response();
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return response;
+    }
     gateway.lock().active += 1;
     let active = ActiveRequest { gateway: Arc::clone(gateway) };
     let mut response = serve_request(gateway, request).await;
     drop(active);
-    if gateway.lock().stopping {
+    if gateway.lock().stopping_at.is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -161,5 +174,5 @@
     let now = gateway.now();
     let state = gateway.lock();
     let fresh = state.view.age_ms(now).is_some_and(|age| age < READY_AGE_MS);
-    fresh && state.upstreams_known && !state.stopping
+    fresh && state.upstreams_known && state.stopping_at.is_none()
 }
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -230,6 +230,9 @@
             }
             return Err(refusal_after(flight).with_retry_after(retry_ms));
         }
+        if stops_soon(gateway, now) {
+            return Err(if flight.runs > 0 { refusal_after(flight) } else { RequestRefusal::new(ErrorKind::Draining) });
+        }
         let look_ms = match cause {
             WaitCause::Cold(wait_ms) => wait_ms.clamp(1, LOOK_MS),
             _ => LOOK_MS,
@@ -291,6 +294,12 @@
     no_upstream.then_some(UNKNOWN_LOAD_MS)
 }
 
+/// True when the process ends before a request that still waits could be answered.
+fn stops_soon(gateway: &Gateway, now: ClockTime) -> bool {
+    let stopping_at = gateway.lock().stopping_at;
+    stopping_at.is_some_and(|at| now.since_ms(at) >= gateway.settings.grace_ms / 2)
+}
+
 /// Takes note of a send to a cold upstream.
 fn note_send(gateway: &Gateway, cold_per_s: f64, upstream: &UpstreamId, now: ClockTime) {
     let mut state = gateway.lock();
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -99,7 +99,7 @@
     let begun_at = gateway.now();
     let active = {
         let mut state = gateway.lock();
-        state.stopping = true;
+        state.stopping_at = Some(begun_at);
         state.active
     };
     info!(gateway.logger, "stopping"; "active" => active);
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -93,8 +93,8 @@
     pub repeats: Vec<(ServiceId, RepeatBudget)>,
     /// Leader duties, while this gateway leads.
     pub lead: Option<LeaderState>,
-    /// True after a termination signal.
-    pub stopping: bool,
+    /// When the termination signal came.
+    pub stopping_at: Option<ClockTime>,
     /// Requests in progress.
     pub active: u32,
     /// Log lines of this second.
@@ -193,7 +193,7 @@
             tokens: Vec::new(),
             repeats: Vec::new(),
             lead: None,
-            stopping: false,
+            stopping_at: None,
             active: 0,
             lines: LineBudget::default(),
             arrived: Vec::new(),
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -50,7 +50,7 @@
     let mut lease = LeaderLease::new(own).with_times(LEASE_TIMES);
     loop {
         let now = gateway.now();
-        if gateway.lock().stopping {
+        if gateway.lock().stopping_at.is_some() {
             lease.release(now);
         }
         settle_lead(&gateway, &lease, now);
