tokens: a team's limit is counted over the window that the operators' bound names

Cause: a bucket of the rate refused at the rate, although the limit is rate times window plus burst in any window; and a gateway without a leader could spend no more than two seconds of its part. Change: the leader counts grants in a sliding window, and tells each gateway what it may spend if it loses the leader. Refused tokens are logged with their inputs.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -88,6 +88,15 @@
     pub wait_ms: u64,
 }
 
+/// What a gateway may spend of a team's limit when it loses the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamRoom {
+    /// The team.
+    pub team: TeamId,
+    /// Tokens.
+    pub tokens: u64,
+}
+
 /// A model that an upstream is going to hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ArrivalLine {
@@ -132,7 +141,9 @@
     pub peers: Vec<SocketAddr>,
     /// Tokens.
     pub grants: Vec<TokenGrantLine>,
-    /// Running calls of the fleet, this gateway's included.
+    /// Tokens to spend without a leader.
+    pub rooms: Vec<TeamRoom>,
+    /// Running calls of the other gateways.
     pub running: Vec<LoadLine>,
     /// Adapters that upstreams hold, sorted.
     pub adapters: Vec<AdapterPlace>,
--- a/crates/cowslip-entry/src/grant_book.rs
+++ b/crates/cowslip-entry/src/grant_book.rs
@@ -1,43 +1,43 @@
-//! The leader's token buckets of all teams.
+//! The leader's account of all teams' tokens.
 //!
-//! Grants of all gateways come out of one bucket a team, so they add up to the team's rate and burst. A gateway that
-//! has not reported lately may be spending its own part, which is kept out of the bucket's rate.
+//! Grants of all gateways come out of one window a team, so they add up to the team's rate and burst. A gateway that
+//! has not reported lately may be spending its own part, which is kept out of what is granted.
 
-use cowslip_fleet::{TokenBucket, TokenShare};
-use cowslip_units::{ClockTime, TeamId, TokenCount};
+use cowslip_units::{ClockTime, TeamId};
 use smol_str::SmolStr;
 
-use crate::{ALONE_AFTER_MS, TeamRule, TokenAsk, TokenGrantLine};
-
-/// Thousandths in a token.
-const MILLI: u64 = 1_000;
+use crate::{ALONE_AFTER_MS, GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine};
 
 /// Time in ms after which a silent gateway is no longer counted as a member.
 const FORGET_MS: u64 = 20_000;
 
-/// A new gateway may have started this long ago in ms without having reported.
-const HEARD_MS: u64 = ALONE_AFTER_MS - 500;
+/// Time in ms after its last report from which a gateway may be spending its own part.
+const HEARD_MS: u64 = ALONE_AFTER_MS - 300;
+
+/// Part of a team's limit that stays for requests that wait when others ask ahead.
+const AHEAD_RESERVE: u64 = 8;
 
 #[derive(Clone, Debug, PartialEq)]
-struct TeamBucket {
+struct TeamWindow {
     team: TeamId,
-    bucket: TokenBucket,
+    window: GrantWindow,
 }
 
-/// The buckets, and who has reported when.
+/// The windows, and who has reported when.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct GrantBook {
-    teams: Vec<TeamBucket>,
+    teams: Vec<TeamWindow>,
     members: Vec<(SmolStr, ClockTime)>,
-    /// Tokens that a burst may exceed the team's by, within the tolerance of the limit.
+    window_ms: u64,
+    /// Tokens within the tolerance of the limit that may be granted while earlier leaders' grants are unknown.
     slack: u64,
-    started_full: bool,
+    blind: bool,
 }
 
 impl GrantBook {
-    /// A book whose buckets start empty, or full when no leader has granted anything before.
-    pub fn new(slack: u64, started_full: bool) -> Self {
-        Self { slack, started_full, ..Self::default() }
+    /// A book of windows of `window_ms`; `blind` when an earlier leader may have granted tokens.
+    pub fn new(window_ms: u64, slack: u64, blind: bool) -> Self {
+        Self { window_ms, slack, blind, ..Self::default() }
     }
 
     /// Members known, sorted.
@@ -58,74 +58,61 @@
         self.members.retain(|(_, heard)| now.since_ms(*heard) < FORGET_MS);
     }
 
-    /// Takes rates and bursts from the configuration, and the share of the members that report.
+    /// Takes rates and bursts from the configuration.
     pub fn configure(&mut self, rules: &[TeamRule], now: ClockTime) {
-        let known = self.members.len().max(1) as u64;
-        let heard = self.members.iter().filter(|(_, heard)| now.since_ms(*heard) < HEARD_MS).count() as u64;
-        let full = self.started_full;
         let mut teams = Vec::with_capacity(rules.len());
         for rule in rules.iter().filter(|rule| rule.limited()) {
-            let cap = rule.burst + self.slack;
-            let rate_milli = rule.per_s * MILLI * heard / known;
-            let share = TokenShare { rate_milli, cap_milli: cap * MILLI };
             let old = self.teams.iter().position(|team| team.team == rule.name);
-            let team = match old {
-                Some(at) => {
-                    let mut team = self.teams.swap_remove(at);
-                    if team.bucket.share() != share {
-                        team.bucket.set_share(share, now);
-                    }
-                    team
-                }
-                None => {
-                    let mut bucket = TokenBucket::new(share, now);
-                    if full {
-                        bucket.put_back(TokenCount::new(cap), now);
-                    }
-                    TeamBucket { team: rule.name.clone(), bucket }
-                }
+            let mut team = match old {
+                Some(at) => self.teams.swap_remove(at),
+                None => TeamWindow {
+                    team: rule.name.clone(),
+                    window: GrantWindow::new(self.window_ms, self.blind, now),
+                },
             };
+            team.window.set_limit(rule.per_s, rule.burst);
             teams.push(team);
         }
         teams.sort_by(|left, right| left.team.cmp(&right.team));
         self.teams = teams;
-        // Teams that come with a later configuration start empty.
-        self.started_full = self.started_full && rules.is_empty();
     }
 
-    /// Answers a gateway's asks. What is wanted ahead is granted only from the part of the bucket that exceeds a quarter
-    /// second of the rate, so that it is not taken from requests that wait.
+    /// The part of the members that report.
+    fn heard_part(&self, now: ClockTime) -> (u64, u64) {
+        let known = self.members.len().max(1) as u64;
+        let heard = self.members.iter().filter(|(_, heard)| now.since_ms(*heard) < HEARD_MS).count() as u64;
+        (heard, known)
+    }
+
+    /// What each gateway may spend of each team's limit when it loses the leader.
+    pub fn rooms(&mut self, now: ClockTime) -> Vec<TeamRoom> {
+        let known = self.members.len().max(1) as u64;
+        let slack = self.slack;
+        let room = |team: &mut TeamWindow| TeamRoom {
+            team: team.team.clone(),
+            tokens: team.window.room(slack, now) / known,
+        };
+        self.teams.iter_mut().map(room).collect()
+    }
+
+    /// Answers a gateway's asks. What is wanted ahead is granted only while plenty is left, so that it is not taken
+    /// from requests that wait.
     pub fn grant(&mut self, asks: &[TokenAsk], now: ClockTime) -> Vec<TokenGrantLine> {
         asks.iter().filter_map(|ask| self.grant_one(ask, now)).collect()
     }
 
     fn grant_one(&mut self, ask: &TokenAsk, now: ClockTime) -> Option<TokenGrantLine> {
+        let (heard, known) = self.heard_part(now);
+        let slack = self.slack;
         let at = self.teams.binary_search_by(|team| team.team.cmp(&ask.team)).ok()?;
-        let bucket = &mut self.teams.get_mut(at)?.bucket;
-        bucket.put_back(TokenCount::new(ask.returned), now);
-        let mut granted = 0;
-        let mut wait_ms = 0;
-        if ask.short > 0 {
-            let there = bucket.level(now).get().min(ask.short);
-            if bucket.take(TokenCount::new(there), now) {
-                granted = there;
-            }
-            if granted < ask.short {
-                wait_ms = wait_for(bucket, ask.short - granted, now);
-            }
-        }
-        let spare = bucket.level(now).get().saturating_sub(bucket.share().rate_milli / MILLI / 4);
-        let ahead = ask.ahead.min(spare);
-        if wait_ms == 0 && bucket.take(TokenCount::new(ahead), now) {
-            granted += ahead;
-        }
-        Some(TokenGrantLine { team: ask.team.clone(), granted, wait_ms })
+        let window = &mut self.teams.get_mut(at)?.window;
+        window.give_back(ask.returned);
+        let room = window.room(slack, now) * heard / known;
+        let short = ask.short.min(room);
+        let ahead = ask.ahead.min((room - short) / AHEAD_RESERVE);
+        let missing = ask.short - short;
+        let wait_ms = if missing > 0 { window.wait_ms(room + missing, slack, now) } else { 0 };
+        window.grant(short + ahead, now);
+        Some(TokenGrantLine { team: ask.team.clone(), granted: short + ahead, wait_ms })
     }
 }
-
-/// Time in ms until the bucket is believed to have `amount`.
-fn wait_for(bucket: &mut TokenBucket, amount: u64, now: ClockTime) -> u64 {
-    let missing = amount.saturating_sub(bucket.level(now).get());
-    let rate = bucket.share().rate_milli.max(1);
-    (missing.saturating_mul(MILLI * MILLI) / rate).max(1)
-}
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet_config;
 mod fleet_messages;
 mod grant_book;
+mod grant_window;
 mod known_upstream;
 mod load_budget;
 mod load_planner;
@@ -39,9 +40,10 @@
 pub use fleet_config::FleetConfig;
 pub use fleet_messages::{
     AdapterPlace, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LoadLine, RunningLine,
-    TokenAsk, TokenGrantLine, ViewCopy, ViewStamp,
+    TeamRoom, TokenAsk, TokenGrantLine, ViewCopy, ViewStamp,
 };
 pub use grant_book::GrantBook;
+pub use grant_window::GrantWindow;
 pub use known_upstream::KnownUpstream;
 pub use load_budget::{LoadBudget, StoreLimit};
 pub use load_planner::LoadPlanner;
--- a/crates/cowslip-entry/src/token_purse.rs
+++ b/crates/cowslip-entry/src/token_purse.rs
@@ -10,11 +10,14 @@
 pub const GRANT_MS: u64 = 700;
 
 /// Time in ms without an answer from a leader after which a gateway spends its own part.
-pub const ALONE_AFTER_MS: u64 = 1_500;
+pub const ALONE_AFTER_MS: u64 = 1_100;
 
 /// Time in ms over which the need of the next moments is estimated.
 const AHEAD_MS: u64 = 400;
 
+/// Seconds of the own part of the rate that are saved up without a leader.
+const OWN_CAP_S: u64 = 4;
+
 /// Thousandths in a token.
 const MILLI: u64 = 1_000;
 
@@ -50,14 +53,12 @@
         Self { grants: Vec::new(), returned: 0, spent_recently: 0.0, decayed_at: now, own }
     }
 
-    /// Sets the own part of the team's rate, which is spent without a leader.
-    pub fn set_own_part(&mut self, per_s: u64, members: usize, now: ClockTime) {
-        let members = members.max(1) as u64;
-        let rate_milli = per_s * MILLI / members;
-        let share = TokenShare { rate_milli, cap_milli: rate_milli.saturating_mul(2) };
-        if self.own.share() != share {
-            self.own.set_share(share, now);
-        }
+    /// Sets what may be spent without a leader: the own part of the team's rate, and at first `room` tokens.
+    pub fn set_own_part(&mut self, per_s: u64, members: usize, room: u64, now: ClockTime) {
+        let rate_milli = per_s * MILLI / members.max(1) as u64;
+        let cap_milli = (room * MILLI).max(rate_milli.saturating_mul(OWN_CAP_S));
+        self.own = TokenBucket::new(TokenShare { rate_milli, cap_milli }, now);
+        self.own.put_back(TokenCount::new(room), now);
     }
 
     fn expire(&mut self, now: ClockTime) {
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -116,6 +116,7 @@
             let lead = LeaderState::new(
                 fence,
                 gateway.settings.loads,
+                gateway.settings.rate_window_ms,
                 gateway.settings.rate_tolerance,
                 earlier.is_none(),
                 orders_from,
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_entry::{GatewayReport, LeaderAnswer, TokenGrantLine, ViewCopy};
+use cowslip_entry::{GatewayReport, LeaderAnswer, TeamRoom, TokenGrantLine, ViewCopy};
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
 use cowslip_units::ClockTime;
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -187,10 +187,8 @@
     }
     state.leader_heard_at = Some(sent_at);
     state.peers = answer.peers;
-    if state.members != answer.members {
-        state.members = answer.members;
-        set_own_parts(&mut state, now);
-    }
+    state.members = answer.members;
+    set_own_parts(&mut state, &answer.rooms, now);
     state.arrivals = answer.arrivals;
     state.book.told(&answer.running, &answer.adapters, &answer.leaving);
     for grant in &answer.grants {
@@ -206,11 +204,13 @@
     tokens.refused_until = now.plus_ms(grant.wait_ms);
 }
 
-fn set_own_parts(state: &mut GatewayState, now: ClockTime) {
+fn set_own_parts(state: &mut GatewayState, rooms: &[TeamRoom], now: ClockTime) {
     let members = state.member_count(crate::FALLBACK_MEMBERS);
     let Some(config) = state.view.config().cloned() else { return };
-    for team in config.teams().iter().filter(|team| team.limited()) {
-        state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, members, now);
+    for room in rooms {
+        if let Some(team) = config.team(&room.team) {
+            state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, members, room.tokens, now);
+        }
     }
 }
 
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -31,6 +31,7 @@
     pub(crate) fn new(
         fence: FenceNumber,
         limit: StoreLimit,
+        window_ms: u64,
         tolerance: u64,
         first: bool,
         orders_from: ClockTime,
@@ -40,7 +41,7 @@
         Self {
             fence,
             planner: LoadPlanner::new(limit, orders_from, now),
-            grants: GrantBook::new(slack, first),
+            grants: GrantBook::new(window_ms, slack, !first),
             addresses: Vec::new(),
         }
     }
@@ -72,6 +73,7 @@
             peers: others.map(|(_, address)| *address).take(MAX_PEERS).collect(),
             members,
             grants,
+            rooms: self.grants.rooms(now),
             running: self.planner.demand().running(&gateway),
             adapters: adapter_places(self.planner.engines(), now),
             arrivals: self.planner.arrivals(services, now),
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -90,7 +90,7 @@
     let charge = match &admitted.team {
         Some(team) if team.limited() => {
             let charge = team.charge(context.caller.tokens);
-            reserve_tokens(gateway, team, charge, &limit).await?;
+            reserve_tokens(gateway, &context, team, charge, &limit).await?;
             Some((team.name.clone(), charge))
         }
         _ => None,
@@ -140,6 +140,7 @@
 /// Takes the tokens of a request, waiting a little for the leader's grant.
 async fn reserve_tokens(
     gateway: &Gateway,
+    context: &RequestContext,
     team: &TeamRule,
     charge: u64,
     limit: &WaitLimit,
@@ -182,6 +183,14 @@
         let mut state = gateway.lock();
         let tokens = state.team_tokens(&team.name, now);
         tokens.short = tokens.short.saturating_sub(charge);
+        let (left, wait_ms) = (tokens.purse.left(now), tokens.refused_until.since_ms(now));
+        let heard_ms = state.leader_heard_at.map(|at| now.since_ms(at));
+        drop(state);
+        if outcome.is_err() && gateway.may_log() {
+            info!(gateway.logger, "tokens_refused"; "request" => %context.caller.attempt, "team" => %team.name,
+                "charge" => charge, "rate" => team.per_s, "burst" => team.burst, "left" => left,
+                "wait_ms" => wait_ms, "leader_heard_ms" => heard_ms);
+        }
     }
     outcome
 }
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -181,9 +181,9 @@
         gateway.metrics.config_version.set(version);
         let members = state.member_count(crate::FALLBACK_MEMBERS);
         let teams = config.iter().flat_map(|config| config.teams()).filter(|team| team.limited());
-        let rates: Vec<_> = teams.map(|team| (team.name.clone(), team.per_s)).collect();
-        for (team, per_s) in rates {
-            state.team_tokens(&team, now).purse.set_own_part(per_s, members, now);
+        for team in teams {
+            // The leader tells more as soon as it has read the new rates.
+            state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, members, 0, now);
         }
     }
 }
