Urgent requests of a team first, near copies are waited for, and a shorter takeover

Change: a fifth of a team's window is kept for urgent or small requests; a busy engine with a nearer copy is waited for; the leader tells its lease row's version and age, and gateways act alone after 2.5 reports.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -95,6 +95,8 @@
     pub team: TeamId,
     /// Tokens.
     pub tokens: u64,
+    /// Time in ms for which only urgent or small requests get tokens, because few are left.
+    pub tight_ms: u64,
 }
 
 /// A model that an upstream is going to hold.
@@ -126,6 +128,15 @@
     pub count: u32,
 }
 
+/// The leader's lease, as it tells candidates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseNews {
+    /// Version of the lease row.
+    pub version: u64,
+    /// Time in ms since the write that renewed it was sent.
+    pub age_ms: u64,
+}
+
 /// The answer to a report.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderAnswer {
@@ -135,6 +146,8 @@
     pub leader: Option<SocketAddr>,
     /// How fresh the answering gateway's view is.
     pub view: ViewStamp,
+    /// The answering gateway's lease, when it leads.
+    pub lease: Option<LeaseNews>,
     /// Names of the gateways that report to it, sorted.
     pub members: Vec<SmolStr>,
     /// Where some of them are reached.
--- a/crates/cowslip-entry/src/grant_book.rs
+++ b/crates/cowslip-entry/src/grant_book.rs
@@ -6,13 +6,13 @@
 use cowslip_units::{ClockTime, TeamId};
 use smol_str::SmolStr;
 
-use crate::{ALONE_AFTER_MS, GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine};
+use crate::{GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine, heard_ms};
 
 /// Time in ms after which a silent gateway is no longer counted as a member.
 const FORGET_MS: u64 = 20_000;
 
-/// Time in ms after its last report from which a gateway may be spending its own part.
-const HEARD_MS: u64 = ALONE_AFTER_MS - 300;
+/// Part of a team's limit that is kept for its urgent and its small requests.
+const URGENT_RESERVE: u64 = 5;
 
 /// Part of a team's limit that stays for requests that wait when others ask ahead.
 const AHEAD_RESERVE: u64 = 8;
@@ -80,7 +80,8 @@
     /// The part of the members that report.
     fn heard_part(&self, now: ClockTime) -> (u64, u64) {
         let known = self.members.len().max(1) as u64;
-        let heard = self.members.iter().filter(|(_, heard)| now.since_ms(*heard) < HEARD_MS).count() as u64;
+        let heard_ms = heard_ms(self.members.len());
+        let heard = self.members.iter().filter(|(_, heard)| now.since_ms(*heard) < heard_ms).count() as u64;
         (heard, known)
     }
 
@@ -91,6 +92,7 @@
         let room = |team: &mut TeamWindow| TeamRoom {
             team: team.team.clone(),
             tokens: team.window.room(slack, now) / known,
+            tight_ms: team.window.wait_ms(team.window.limit() / URGENT_RESERVE, slack, now),
         };
         self.teams.iter_mut().map(room).collect()
     }
--- a/crates/cowslip-entry/src/grant_window.rs
+++ b/crates/cowslip-entry/src/grant_window.rs
@@ -46,7 +46,7 @@
     }
 
     /// Tokens that a window may hold.
-    fn limit(&self) -> u64 {
+    pub fn limit(&self) -> u64 {
         self.per_s * self.window_ms / 1_000 + self.burst
     }
 
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod planned_engine;
 mod rendezvous;
 mod repeat_budget;
+mod report_times;
 mod request_need;
 mod route_rule;
 mod service_rule;
@@ -39,7 +40,7 @@
 pub use engine_order::{EngineAction, EngineOrder, EngineStatus, OrderAnswer, PlanStep};
 pub use fleet_config::FleetConfig;
 pub use fleet_messages::{
-    AdapterPlace, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LoadLine, RunningLine,
+    AdapterPlace, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LeaseNews, LoadLine, RunningLine,
     TeamRoom, TokenAsk, TokenGrantLine, ViewCopy, ViewStamp,
 };
 pub use grant_book::GrantBook;
@@ -56,7 +57,8 @@
 pub use route_rule::{RouteKind, RouteRule, RouteTarget};
 pub use service_rule::{EngineRule, ModelRule, ServiceRule};
 pub use team_rule::TeamRule;
-pub use token_purse::{ALONE_AFTER_MS, GRANT_MS, PurseStep, TokenPurse};
+pub use report_times::{alone_after_ms, heard_ms, report_pause_ms};
+pub use token_purse::{GRANT_MS, PurseStep, TokenPurse};
 pub use upstream_book::{LAPSE_HOLD_MS, PickScope, UpstreamBook, UpstreamPick, WaitCause};
 pub use upstream_entry::{HeldModel, UpstreamEntry};
 pub use wait_limit::WaitLimit;
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -31,6 +31,9 @@
 /// Pause in ms between an unload and the load that takes its place.
 const AFTER_UNLOAD_MS: u64 = 3;
 
+/// Advantage in ms of a busy engine with a nearer copy from which it is waited for.
+const BUSY_MARGIN_MS: f64 = 500.0;
+
 /// Time in ms after the expected end of a load at which the engine is asked.
 const LATE_MS: u64 = 250;
 
@@ -258,11 +261,17 @@
         let Some(model_rule) = rule.model(model) else { return };
         let store_loads = self.store_loads();
         let mut best: Option<(f64, usize, Vec<ModelId>, WeightTier)> = None;
+        let mut soonest_busy = f64::INFINITY;
         for (at, engine) in self.engines.iter().enumerate() {
-            if engine.entry.service != *service || !engine.is_free() || engine.entry.holds(model) {
+            if engine.entry.service != *service || engine.closed || engine.entry.holds(model) {
                 continue;
             }
             let tier = engine.tier(model);
+            if !engine.is_free() {
+                let wait_ms = engine.task.as_ref().map_or(RUNNING_MS, |task| task_left_ms(task, rule, now));
+                soonest_busy = soonest_busy.min(wait_ms + load_ms(model_rule, tier) as f64);
+                continue;
+            }
             if tier == WeightTier::Store && (!self.budget.allows() || store_loads > self.limit.at_once) {
                 continue;
             }
@@ -274,7 +283,11 @@
                 best = Some((cost, at, victims, tier));
             }
         }
-        let Some((_, at, victims, tier)) = best else { return };
+        let Some((cost, at, victims, tier)) = best else { return };
+        if cost > soonest_busy + BUSY_MARGIN_MS {
+            // An engine with a nearer copy of the weights is worth waiting for.
+            return;
+        }
         if tier == WeightTier::Store {
             self.budget.take();
         }
@@ -429,6 +442,15 @@
     }
 }
 
+/// Time in ms until a change under way is over.
+fn task_left_ms(task: &EngineTask, rule: &EngineRule, now: ClockTime) -> f64 {
+    let whole = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
+    match task.stage {
+        TaskStage::Loading(until) => until.since_ms(now) as f64,
+        TaskStage::Send(_) | TaskStage::Sent(_) => whole as f64,
+    }
+}
+
 fn model_answered(
     engine: &mut PlannedEngine,
     order: &EngineOrder,
--- /dev/null
+++ b/crates/cowslip-entry/src/report_times.rs
@@ -0,0 +1,24 @@
+//! How often gateways report, and when one that is not answered acts alone.
+
+/// Pause in ms between two reports of a small fleet.
+const REPORT_MS: u64 = 250;
+
+/// Pause in ms that each gateway of a large fleet adds, so that the leader's work a second stays bounded.
+const REPORT_MS_PER_MEMBER: u64 = 6;
+
+/// Pause in ms between two reports of a gateway.
+pub const fn report_pause_ms(members: usize) -> u64 {
+    let pause_ms = members as u64 * REPORT_MS_PER_MEMBER;
+    if pause_ms > REPORT_MS { pause_ms } else { REPORT_MS }
+}
+
+/// Time in ms after the last report from which the leader counts a gateway as acting alone.
+pub const fn heard_ms(members: usize) -> u64 {
+    report_pause_ms(members) * 2
+}
+
+/// Time in ms without an answer after which a gateway acts alone; more than [`heard_ms`], so that the leader has
+/// stopped to grant the gateway's part to others.
+pub const fn alone_after_ms(members: usize) -> u64 {
+    report_pause_ms(members) * 5 / 2
+}
--- a/crates/cowslip-entry/src/token_purse.rs
+++ b/crates/cowslip-entry/src/token_purse.rs
@@ -9,9 +9,6 @@
 /// Time in ms for which a grant may be spent. The window of the limit is longer by this much at worst.
 pub const GRANT_MS: u64 = 700;
 
-/// Time in ms without an answer from a leader after which a gateway spends its own part.
-pub const ALONE_AFTER_MS: u64 = 1_100;
-
 /// Time in ms over which the need of the next moments is estimated.
 const AHEAD_MS: u64 = 400;
 
--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -59,6 +59,8 @@
     step_at: ClockTime,
     next_at: ClockTime,
     highest_epoch: FenceNumber,
+    /// Version of the holder's row and when it was renewed, as the holder told.
+    told: Option<(u64, ClockTime)>,
     /// When the row of the holder before was first seen; its last renewal was sent before that.
     taken_from: Option<ClockTime>,
 }
@@ -76,6 +78,7 @@
             step_at: ClockTime::ZERO,
             next_at: ClockTime::ZERO,
             highest_epoch: FenceNumber::ZERO,
+            told: None,
             taken_from: None,
         }
     }
@@ -87,6 +90,18 @@
         self
     }
 
+    /// The version of the own row and the send time of the write that renewed it, while this process holds the lease.
+    pub fn renewal(&self, now: ClockTime) -> Option<(u64, ClockTime)> {
+        self.epoch(now)?;
+        Some((self.seen.as_ref()?.row_version?, self.valid_from?))
+    }
+
+    /// The holder told that it renewed its row, which then got this version, at `at` or before. A candidate that later
+    /// finds the row unchanged need not wait as long as if it had never seen that version.
+    pub fn told(&mut self, row_version: u64, at: ClockTime) {
+        self.told = Some((row_version, at));
+    }
+
     /// The time until which an earlier holder may have acted, as far as the row tells; `None` when no one held the
     /// lease before the epoch of this process.
     pub fn earlier_until(&self, now: ClockTime) -> Option<ClockTime> {
@@ -239,7 +254,8 @@
         };
         self.highest_epoch = self.highest_epoch.max(row.epoch);
         let same = self.seen.as_ref().filter(|seen| seen.row_version == row_version);
-        let since = same.map_or(now, |seen| seen.since);
+        let told = self.told.filter(|(version, _)| Some(*version) == row_version).map(|(_, at)| at);
+        let since = same.map_or(now, |seen| seen.since).min(told.unwrap_or(now));
         let own = row.holder.as_ref() == Some(&self.own);
         if own && self.role == LeaseRole::Candidate {
             // A released row says that its holder had stopped by the time it was first seen.
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -79,6 +79,10 @@
     pub refused: u32,
     /// Upstreams that could not be reached.
     pub unreached: u32,
+    /// Time in ms that it waited for an upstream.
+    pub waited_ms: u64,
+    /// Why it waited last.
+    pub cause: Option<WaitCause>,
     /// Last event that the caller has, when a stream is resumed.
     pub last_event: Option<smol_str::SmolStr>,
 }
@@ -140,6 +144,8 @@
         runs: 0,
         refused: 0,
         unreached: 0,
+        waited_ms: 0,
+        cause: None,
         last_event: None,
     };
     {
@@ -214,11 +220,13 @@
         let cause = match pick {
             UpstreamPick::Send(upstream) => {
                 note_send(gateway, service.cold_per_s, &upstream, now);
+                flight.waited_ms += now.since_ms(begun_at);
                 gateway.metrics.wait_s.observe(now.since_ms(begun_at) as f64 / 1_000.0);
                 return Ok((upstream, admitted));
             }
             UpstreamPick::Wait(cause) => cause,
         };
+        flight.cause = Some(cause);
         let held = ticket.get_or_insert_with(|| begin_wait(gateway, flight, &admitted, now));
         if let Some(wait_ms) = too_long(gateway, flight, held.ticket, cause, begun_at, now) {
             let retry_ms = flight.limit.retry_after_ms(wait_ms, now);
@@ -335,6 +343,9 @@
             if gateway.may_log() {
                 info!(gateway.logger, "request_answered"; "request" => %context.caller.attempt,
                     "upstream" => %upstream, "status" => response.status().as_u16(),
+                    "model" => flight.need.model.as_ref().map(|need| need.model.to_string()),
+                    "adapter" => flight.need.model.as_ref().and_then(|need| need.adapter.as_deref()),
+                    "waited_ms" => flight.waited_ms, "cause" => flight.cause.map(|cause| format!("{cause:?}")),
                     "team" => admitted.team.as_ref().map(|team| team.name.to_string()),
                     "config" => admitted.config.version(), "after_ms" => now.since_ms(context.arrived_at));
             }
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -54,6 +54,8 @@
     pub short: u64,
     /// Until when the leader believes the team to be out of tokens.
     pub refused_until: ClockTime,
+    /// Until when few tokens are left, so that only urgent or small requests get them.
+    pub tight_until: ClockTime,
 }
 
 /// What a gateway knows.
@@ -83,6 +85,8 @@
     pub leader: Option<SocketAddr>,
     /// When a leader last answered: the send time of the report.
     pub leader_heard_at: Option<ClockTime>,
+    /// Version of the lease row and when it was renewed, as the leader told.
+    pub lease_told: Option<(u64, ClockTime)>,
     /// Models that are being loaded.
     pub arrivals: Vec<ArrivalLine>,
     /// Requests that wait.
@@ -188,6 +192,7 @@
             peers: Vec::new(),
             leader: None,
             leader_heard_at: None,
+            lease_told: None,
             arrivals: Vec::new(),
             waiting: Vec::new(),
             tokens: Vec::new(),
@@ -324,6 +329,7 @@
                     purse: TokenPurse::new(now),
                     short: 0,
                     refused_until: ClockTime::ZERO,
+                    tight_until: ClockTime::ZERO,
                 };
                 self.tokens.insert(at, tokens);
                 at
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -28,7 +28,7 @@
 const LOOK_MS: u64 = 100;
 
 /// Time in ms without an answer of the leader after which a candidate reads the lease row.
-const SILENT_MS: u64 = 700;
+const SILENT_MS: u64 = 600;
 
 /// Time in ms on top of the required gap between the orders of two holders.
 const GAP_MARGIN_MS: u64 = 200;
@@ -61,6 +61,9 @@
             gateway.clock.sleep_ms(LOOK_MS).await;
             continue;
         }
+        if let Some((version, renewed_at)) = gateway.lock().lease_told {
+            lease.told(version, renewed_at);
+        }
         match lease.next(now) {
             LeaseStep::Idle(until) => {
                 gateway.clock.sleep_ms(until.since_ms(now).clamp(1, LOOK_MS)).await;
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -1,10 +1,10 @@
 //! Reports to the leader, and what a gateway serves to others.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use cowslip_entry::{GatewayReport, LeaderAnswer, TeamRoom, TokenGrantLine, ViewCopy};
+use cowslip_entry::{GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, report_pause_ms};
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
 use cowslip_units::ClockTime;
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -16,12 +16,6 @@
 use crate::gateway_state::{Gateway, GatewayState};
 use crate::store_follow::{take_copy, view_copy};
 
-/// Pause in ms between two reports of a small fleet.
-const REPORT_MS: u64 = 250;
-
-/// Pause in ms that each gateway of a large fleet adds, so that the leader's work stays bounded.
-const REPORT_MS_PER_MEMBER: u64 = 6;
-
 /// Pause in ms between reports while requests wait for the leader.
 const URGENT_MS: u64 = 30;
 
@@ -62,6 +56,7 @@
 /// Answers a report: as the leader, or with what is known of the leader.
 pub(crate) fn answer_report(gateway: &Gateway, report: GatewayReport) -> LeaderAnswer {
     let now = gateway.now();
+    let lease = lease_news(gateway, now);
     let urgent = report.demand.iter().any(|line| line.waiting > 0);
     let mut state = gateway.lock();
     let view = state.stamp(now);
@@ -75,7 +70,7 @@
         lead.grants.configure(config.teams(), now);
     }
     let services = config.as_ref().map_or(&[][..], |config| config.services());
-    let answer = lead.answer(report, services, view, own, now);
+    let answer = lead.answer(report, services, view, lease, own, now);
     drop(state);
     if urgent {
         gateway.lead_now.notify_one();
@@ -83,6 +78,13 @@
     answer
 }
 
+/// The own lease, for candidates.
+fn lease_news(gateway: &Gateway, now: ClockTime) -> Option<LeaseNews> {
+    let lease = gateway.lease.lock().unwrap_or_else(PoisonError::into_inner);
+    let (version, renewed_at) = lease.as_ref()?.renewal(now)?;
+    Some(LeaseNews { version, age_ms: now.since_ms(renewed_at) })
+}
+
 /// Clients of other gateways.
 #[derive(Debug, Default)]
 struct PeerClients {
@@ -186,6 +188,8 @@
         return;
     }
     state.leader_heard_at = Some(sent_at);
+    // The answer may have been on its way for any part of the call, so the renewal is dated by its arrival.
+    state.lease_told = answer.lease.map(|lease| (lease.version, now.minus_ms(lease.age_ms)));
     state.peers = answer.peers;
     state.members = answer.members;
     set_own_parts(&mut state, &answer.rooms, now);
@@ -209,7 +213,9 @@
     let Some(config) = state.view.config().cloned() else { return };
     for room in rooms {
         if let Some(team) = config.team(&room.team) {
-            state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, members, room.tokens, now);
+            let tokens = state.team_tokens(&team.name, now);
+            tokens.purse.set_own_part(team.per_s, members, room.tokens, now);
+            tokens.tight_until = now.plus_ms(room.tight_ms);
         }
     }
 }
@@ -243,8 +249,7 @@
     let pause_ms = {
         let state = gateway.lock();
         let waits = state.has_unplaced() || state.tokens.iter().any(|tokens| tokens.short > 0);
-        let members = state.members.len() as u64;
-        if waits { URGENT_MS } else { REPORT_MS.max(members * REPORT_MS_PER_MEMBER) }
+        if waits { URGENT_MS } else { report_pause_ms(state.members.len()) }
     };
     let woken = timeout(Duration::from_millis(pause_ms), gateway.report_now.notified()).await;
     if woken.is_ok() {
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cowslip_entry::{
-    GatewayReport, GrantBook, LeaderAnswer, LoadPlanner, ServiceRule, StoreLimit, ViewStamp, adapter_places,
+    GatewayReport, GrantBook, LeaderAnswer, LeaseNews, LoadPlanner, ServiceRule, StoreLimit, ViewStamp, adapter_places,
 };
 use cowslip_units::{ClockTime, FenceNumber};
 use smol_str::SmolStr;
@@ -52,6 +52,7 @@
         report: GatewayReport,
         services: &[ServiceRule],
         view: ViewStamp,
+        lease: Option<LeaseNews>,
         own: SocketAddr,
         now: ClockTime,
     ) -> LeaderAnswer {
@@ -70,6 +71,7 @@
             leads: true,
             leader: Some(own),
             view,
+            lease,
             peers: others.map(|(_, address)| *address).take(MAX_PEERS).collect(),
             members,
             grants,
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cowslip_adapter::{CallerHeaders, passes_to_upstream};
-use cowslip_entry::{ALONE_AFTER_MS, PurseStep, RouteKind, TeamRule, WaitLimit};
+use cowslip_entry::{PurseStep, RouteKind, RouteRule, TeamRule, WaitLimit, alone_after_ms};
 use cowslip_units::{ClockTime, ErrorKind};
 use http::header::HOST;
 use http::{HeaderMap, Request, Response};
@@ -25,6 +25,9 @@
 /// Longest time in ms that a request waits for its team's tokens.
 const TOKEN_WAIT_MS: u64 = 450;
 
+/// Rank of a route from which its large requests give way to others of the team.
+const BULK_PRIORITY: u8 = 2;
+
 /// Pause in ms between two looks at the team's tokens.
 const TOKEN_LOOK_MS: u64 = 25;
 
@@ -90,7 +93,8 @@
     let charge = match &admitted.team {
         Some(team) if team.limited() => {
             let charge = team.charge(context.caller.tokens);
-            reserve_tokens(gateway, &context, team, charge, &limit).await?;
+            let bulk = is_bulk(&admitted.route, team, charge);
+            reserve_tokens(gateway, &context, team, charge, bulk, &limit).await?;
             Some((team.name.clone(), charge))
         }
         _ => None,
@@ -137,12 +141,19 @@
     }
 }
 
+/// True for a large request of low rank. When a team has few tokens left, they go to its urgent requests, and to small
+/// ones, of which many fit into the place of a large one.
+fn is_bulk(route: &RouteRule, team: &TeamRule, charge: u64) -> bool {
+    route.priority >= BULK_PRIORITY && charge > 2 * team.plain_tokens.max(1)
+}
+
 /// Takes the tokens of a request, waiting a little for the leader's grant.
 async fn reserve_tokens(
     gateway: &Gateway,
     context: &RequestContext,
     team: &TeamRule,
     charge: u64,
+    bulk: bool,
     limit: &WaitLimit,
 ) -> Result<(), RequestRefusal> {
     let begun_at = gateway.now();
@@ -153,8 +164,14 @@
         {
             let mut state = gateway.lock();
             let heard = state.leader_heard_at;
-            let alone = heard.is_none_or(|at| now.since_ms(at) >= ALONE_AFTER_MS);
+            let alone_ms = alone_after_ms(state.members.len());
+            let alone = heard.is_none_or(|at| now.since_ms(at) >= alone_ms);
             let tokens = state.team_tokens(&team.name, now);
+            let tight_ms = tokens.tight_until.since_ms(now);
+            if bulk && !alone && tight_ms > 0 {
+                break Err(RequestRefusal::new(ErrorKind::RateLimited)
+                    .with_retry_after(limit.retry_after_ms(tight_ms, now)));
+            }
             let step = tokens.purse.reserve(charge, alone, now);
             if step == PurseStep::Taken {
                 break Ok(());
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -165,6 +165,8 @@
         runs: flight.runs + 1,
         refused: flight.refused,
         unreached: flight.unreached,
+        waited_ms: flight.waited_ms,
+        cause: flight.cause,
         last_event: flight.last_event.clone(),
     }
 }
