Gateways follow their leader instead of the store

Change: the leader alone follows the store. Its answers carry what is newer than the asker's marks (upstreams, adapters, members) and vouch for the operators' table with an age; a gateway asks the store itself when it is behind, or has not been vouched for within 2 s.

--- a/crates/cowslip-entry/src/adapter_plan.rs
+++ b/crates/cowslip-entry/src/adapter_plan.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    AdapterPlace, DemandTable, EngineAction, EngineOrder, EngineRule, ModelNeed, OrderAnswer, PlannedEngine,
+    AdapterName, DemandTable, EngineAction, EngineOrder, EngineRule, ModelNeed, OrderAnswer, PlannedEngine,
 };
 
 /// Time in ms after which an adapter on its way is taken to be there.
@@ -61,26 +61,18 @@
     orders
 }
 
-/// Adapters that engines hold by now, sorted.
-pub fn adapter_places(engines: &[PlannedEngine], now: ClockTime) -> Vec<AdapterPlace> {
-    let mut places = Vec::new();
-    for engine in engines {
-        let held = engine
-            .entry
-            .models
-            .iter()
-            .flat_map(|held| held.adapters.iter().map(move |name| (&held.name, name)));
-        let there = engine.pending.iter().filter(|(.., at)| now >= *at).map(|(model, name, _)| (model, name));
-        for (model, adapter) in held.chain(there) {
-            places.push(AdapterPlace {
-                upstream: engine.entry.id.clone(),
-                model: model.clone(),
-                adapter: adapter.clone(),
-            });
-        }
-    }
-    places.sort();
-    places
+/// Adapters that an engine holds by now, sorted.
+pub fn adapters_of(engine: &PlannedEngine, now: ClockTime) -> Vec<AdapterName> {
+    let held =
+        engine.entry.models.iter().flat_map(|held| held.adapters.iter().map(move |name| (&held.name, name)));
+    let there = engine.pending.iter().filter(|(.., at)| now >= *at).map(|(model, name, _)| (model, name));
+    let name = |(model, adapter): (&ModelId, &SmolStr)| AdapterName {
+        model: model.clone(),
+        adapter: adapter.clone(),
+    };
+    let mut names: Vec<AdapterName> = held.chain(there).map(name).collect();
+    names.sort();
+    names
 }
 
 /// Moves adapters that should have arrived from pending to held.
--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -6,15 +6,17 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::UpstreamEntry;
+
 /// How fresh a gateway's view of the store is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewStamp {
     /// Store version up to which the operators' table is known.
     pub version: u64,
+    /// Store version of the table's newest change.
+    pub changed: u64,
     /// Age in ms of the store call that proved it; `None` when it is not proven.
     pub age_ms: Option<u64>,
-    /// Store version up to which the upstreams' table is known.
-    pub upstream_version: u64,
 }
 
 /// Requests for a model, or for one of its adapters, at a gateway.
@@ -71,6 +73,10 @@
     pub address: Option<SocketAddr>,
     /// How fresh its view is.
     pub view: ViewStamp,
+    /// The leader whose news it knows.
+    pub term: u64,
+    /// Up to where it knows them.
+    pub marks: NewsMarks,
     /// Demand for models.
     pub demand: Vec<DemandLine>,
     /// Running calls.
@@ -110,24 +116,24 @@
     pub wait_ms: u64,
 }
 
-/// An adapter at an upstream.
+/// An adapter of a model.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct AdapterPlace {
-    /// The upstream.
-    pub upstream: UpstreamId,
+pub struct AdapterName {
     /// The model.
     pub model: ModelId,
     /// The adapter.
     pub adapter: SmolStr,
 }
 
-/// Calls of the whole fleet at an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadLine {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// Number of calls.
-    pub count: u32,
+/// Up to where a gateway knows the leader's collections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsMarks {
+    /// Upstreams.
+    pub upstreams: u64,
+    /// Adapters.
+    pub adapters: u64,
+    /// Members.
+    pub members: u64,
 }
 
 /// The leader's lease, as it tells candidates.
@@ -152,19 +158,25 @@
     pub term: u64,
     /// The answering gateway's lease, when it leads.
     pub lease: Option<LeaseNews>,
-    /// Names of the gateways that report to it, sorted.
-    pub members: Vec<SmolStr>,
+    /// True when the news are everything that there is.
+    pub fresh: bool,
+    /// Up to where the news go.
+    pub marks: NewsMarks,
+    /// Upstreams that came, changed or went.
+    pub upstreams: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    /// Adapters of upstreams where they changed.
+    pub adapters: Vec<(UpstreamId, Option<Vec<AdapterName>>)>,
+    /// Gateways that came (true) or went.
+    pub members: Vec<(SmolStr, bool)>,
     /// Where some of them are reached.
     pub peers: Vec<SocketAddr>,
     /// Tokens.
     pub grants: Vec<TokenGrantLine>,
     /// Tokens to spend without a leader.
     pub rooms: Vec<TeamRoom>,
-    /// Running calls of the other gateways.
-    pub running: Vec<LoadLine>,
-    /// Adapters that upstreams hold, sorted.
-    pub adapters: Vec<AdapterPlace>,
-    /// Models that are being loaded or wait for it.
+    /// Running calls of the other gateways, by upstream.
+    pub running: Vec<(UpstreamId, u32)>,
+    /// Models that the gateway waits for and that are being loaded.
     pub arrivals: Vec<ArrivalLine>,
     /// Models that are about to be unloaded.
     pub leaving: Vec<(UpstreamId, ModelId)>,
@@ -188,8 +200,6 @@
     pub view: ViewStamp,
     /// Rows of the operators' table.
     pub operator_rows: Vec<CopiedRow>,
-    /// Version of the upstreams' table.
-    pub upstream_version: u64,
-    /// Rows of the upstreams' table.
-    pub upstream_rows: Vec<CopiedRow>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamEntry>,
 }
--- a/crates/cowslip-entry/src/known_upstream.rs
+++ b/crates/cowslip-entry/src/known_upstream.rs
@@ -4,7 +4,7 @@
 use cowslip_units::{ClockTime, ModelId};
 use smol_str::SmolStr;
 
-use crate::{ColdGate, ModelNeed, UpstreamEntry, text_hash};
+use crate::{AdapterName, ColdGate, ModelNeed, UpstreamEntry, text_hash};
 
 /// Weight of the newest outcome in the share of failures and in the latency.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -46,7 +46,7 @@
     /// Limits sends while it is cold.
     pub cold_gate: ColdGate,
     /// Adapters that the leader says it holds, sorted.
-    pub adapters: Vec<(ModelId, SmolStr)>,
+    pub adapters: Vec<AdapterName>,
     /// Models that the leader is about to unload.
     pub leaving: Vec<ModelId>,
     missing: Vec<MissingModel>,
@@ -128,7 +128,7 @@
     }
 
     fn has_adapter(&self, model: &ModelId, adapter: &SmolStr) -> bool {
-        self.adapters.iter().any(|(name, known)| name == model && known == adapter)
+        self.adapters.iter().any(|known| known.model == *model && known.adapter == *adapter)
     }
 
     /// It refused a request because it does not hold the model or adapter.
@@ -136,7 +136,7 @@
         self.missing.retain(|missing| now < missing.until && missing.need != *need);
         self.missing.push(MissingModel { need: need.clone(), until: now.plus_ms(MISSING_MS) });
         if let Some(adapter) = &need.adapter {
-            self.adapters.retain(|(model, known)| model != &need.model || known != adapter);
+            self.adapters.retain(|known| known.model != need.model || known.adapter != *adapter);
         }
     }
 
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod load_budget;
 mod load_planner;
 mod model_demand;
+mod news_log;
 mod operator_view;
 mod planned_engine;
 mod rendezvous;
@@ -34,13 +35,13 @@
 mod upstream_entry;
 mod wait_limit;
 
-pub use adapter_plan::adapter_places;
+pub use adapter_plan::adapters_of;
 pub use caller_limits::CallerLimits;
 pub use cold_gate::{ColdGate, ColdLimit};
 pub use engine_order::{EngineAction, EngineOrder, EngineStatus, OrderAnswer, PlanStep};
 pub use fleet_config::FleetConfig;
 pub use fleet_messages::{
-    AdapterPlace, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LeaseNews, LoadLine,
+    AdapterName, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LeaseNews, NewsMarks,
     RunningLine, TeamRoom, TokenAsk, TokenGrantLine, ViewCopy, ViewStamp,
 };
 pub use grant_book::GrantBook;
@@ -49,6 +50,7 @@
 pub use load_budget::{LoadBudget, StoreLimit};
 pub use load_planner::LoadPlanner;
 pub use model_demand::{AdapterDemand, DemandTable, ModelDemand};
+pub use news_log::NewsLog;
 pub use operator_view::{OperatorChange, OperatorRow, OperatorView, ViewOutcome};
 pub use planned_engine::{PlannedEngine, WeightTier};
 pub use rendezvous::{pair_weight, rank_of, text_hash};
--- a/crates/cowslip-entry/src/model_demand.rs
+++ b/crates/cowslip-entry/src/model_demand.rs
@@ -1,6 +1,6 @@
 //! How much each model is asked for, summed over the gateways' reports.
 
-use cowslip_units::{ClockTime, ModelId};
+use cowslip_units::{ClockTime, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
 use crate::{GatewayReport, ModelNeed};
@@ -180,17 +180,12 @@
                 }
             }
         }
-        waiting.sort_by(|left, right| right.oldest_ms.cmp(&left.oldest_ms));
+        waiting.sort_by_key(|known| std::cmp::Reverse(known.oldest_ms));
         waiting
     }
 
     /// Calls of the fleet for a model, or an adapter of it, at an upstream.
-    pub fn running_at(
-        &self,
-        upstream: &cowslip_units::UpstreamId,
-        model: &ModelId,
-        adapter: Option<&SmolStr>,
-    ) -> u32 {
+    pub fn running_at(&self, upstream: &UpstreamId, model: &ModelId, adapter: Option<&SmolStr>) -> u32 {
         let lines = self.reports.iter().flat_map(|heard| &heard.report.running);
         let of_model = lines.filter(|line| line.upstream == *upstream && line.model.as_ref() == Some(model));
         of_model
@@ -200,15 +195,13 @@
     }
 
     /// Calls of the fleet at each upstream but for those of `except`, sorted by upstream.
-    pub fn running(&self, except: &str) -> Vec<crate::LoadLine> {
-        let mut lines: Vec<crate::LoadLine> = Vec::new();
+    pub fn running(&self, except: &str) -> Vec<(UpstreamId, u32)> {
+        let mut lines: Vec<(UpstreamId, u32)> = Vec::new();
         let others = self.reports.iter().filter(|heard| heard.gateway != except);
         for line in others.flat_map(|heard| &heard.report.running) {
-            match lines.binary_search_by(|known| known.upstream.cmp(&line.upstream)) {
-                Ok(at) => lines[at].count += line.count,
-                Err(at) => {
-                    lines.insert(at, crate::LoadLine { upstream: line.upstream.clone(), count: line.count });
-                }
+            match lines.binary_search_by(|(upstream, _)| upstream.cmp(&line.upstream)) {
+                Ok(at) => lines[at].1 += line.count,
+                Err(at) => lines.insert(at, (line.upstream.clone(), line.count)),
             }
         }
         lines
--- a/crates/cowslip-entry/src/operator_view.rs
+++ b/crates/cowslip-entry/src/operator_view.rs
@@ -47,6 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct OperatorView {
     version: u64,
+    changed: u64,
     config: Option<Arc<FleetConfig>>,
     config_at: u64,
     evacuated: Vec<DomainId>,
@@ -64,6 +65,11 @@
         self.version
     }
 
+    /// Store version of the newest change of the table.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Option<&Arc<FleetConfig>> {
         self.config.as_ref()
@@ -79,11 +85,14 @@
         self.proven_at.map(|at| now.since_ms(at))
     }
 
-    /// The store or a peer said that nothing newer than `version` existed at `at`.
-    pub fn prove(&mut self, version: u64, at: ClockTime) {
-        if version == self.version && self.config.is_some() {
+    /// The store or a peer said that at `at` the newest change of the table had the version `changed`. False when that
+    /// change is not known here.
+    pub fn prove(&mut self, changed: u64, at: ClockTime) -> bool {
+        let known = changed <= self.version;
+        if known && self.config.is_some() {
             self.proven_at = self.proven_at.max(Some(at));
         }
+        known
     }
 
     /// Applies the changes of a feed that was asked at `sent_at` and knows the table up to `version`.
@@ -96,7 +105,7 @@
             self.apply_change(change, &mut outcome);
         }
         self.version = version;
-        self.prove(version, sent_at);
+        self.prove(self.changed, sent_at);
         outcome
     }
 
@@ -116,11 +125,12 @@
             self.apply_change(change, &mut outcome);
         }
         self.version = version;
-        self.prove(version, sent_at);
+        self.prove(self.changed, sent_at);
         outcome
     }
 
     fn apply_change(&mut self, change: OperatorChange, outcome: &mut ViewOutcome) {
+        self.changed = self.changed.max(change.version);
         match change.row {
             OperatorRow::Config(config) if change.version > self.config_at => {
                 outcome.config = Some(config.version());
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -4,12 +4,12 @@
 //! by a hash of the request's session and the upstream, so that they do not all follow one stale figure, and requests
 //! of one session meet at the engine that has their prompt cached.
 
-use cowslip_units::{ClockTime, DomainId, ServiceId, UpstreamId};
+use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
 use smol_str::SmolStr;
 
 use crate::{
-    AdapterPlace, ColdLimit, KnownUpstream, LoadLine, ModelNeed, RequestNeed, ServiceRule, UpstreamEntry,
-    pair_weight, rank_of,
+    AdapterName, ColdLimit, KnownUpstream, ModelNeed, RequestNeed, ServiceRule, UpstreamEntry, pair_weight,
+    rank_of,
 };
 
 /// Time in ms for which entries that vanished with the store's trouble stay in use.
@@ -164,19 +164,19 @@
         }
     }
 
-    /// Takes the fleet's calls and adapters from the leader's answer.
-    pub fn told(
-        &mut self,
-        running: &[LoadLine],
-        adapters: &[AdapterPlace],
-        leaving: &[(UpstreamId, cowslip_units::ModelId)],
-    ) {
+    /// Takes the leader's word on the adapters of an upstream.
+    pub fn told_adapters(&mut self, id: &UpstreamId, names: Vec<AdapterName>) {
+        if let Some(known) = self.get_mut(id) {
+            known.adapters = names;
+        }
+    }
+
+    /// Takes the other gateways' calls, and the models that are about to be unloaded, from the leader's answer.
+    pub fn told(&mut self, running: &[(UpstreamId, u32)], leaving: &[(UpstreamId, ModelId)]) {
         for known in &mut self.upstreams {
             let id = &known.entry.id;
-            let line = running.iter().find(|line| line.upstream == *id);
-            known.others = line.map_or(0, |line| line.count);
-            let held = adapters.iter().filter(|place| place.upstream == *id);
-            known.adapters = held.map(|place| (place.model.clone(), place.adapter.clone())).collect();
+            let line = running.iter().find(|(upstream, _)| upstream == id);
+            known.others = line.map_or(0, |(_, count)| *count);
             let models = leaving.iter().filter(|(upstream, _)| upstream == id);
             known.leaving = models.map(|(_, model)| model.clone()).collect();
         }
--- a/crates/cowslip-entry/src/upstream_entry.rs
+++ b/crates/cowslip-entry/src/upstream_entry.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 
 use cowslip_units::{DomainId, ModelId, ServiceId, UpstreamId};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// A model that an engine holds, with its adapters.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
     /// The model.
     pub name: ModelId,
@@ -15,7 +16,7 @@
 }
 
 /// One incarnation of an upstream, as it last described itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
     /// Its id.
     pub id: UpstreamId,
@@ -33,15 +34,23 @@
     pub cold_left_ms: u64,
     /// Models that it holds.
     pub models: Vec<HeldModel>,
-    /// Models whose weights lie in its host memory.
+    /// Models whose weights lie in its host memory. Only the leader needs them, so gateways do not pass them on.
+    #[serde(skip)]
     pub in_memory: Vec<ModelId>,
     /// Models whose weights lie on its disk.
+    #[serde(skip)]
     pub on_disk: Vec<ModelId>,
     /// Unix time in ms of its start; tells two starts under one id apart.
     pub born: u64,
 }
 
 impl UpstreamEntry {
+    /// The entry without the lists that only the leader needs.
+    #[must_use]
+    pub fn without_copies(&self) -> Self {
+        Self { in_memory: Vec::new(), on_disk: Vec::new(), ..self.clone() }
+    }
+
     /// True when it says that it holds the model.
     pub fn holds(&self, model: &ModelId) -> bool {
         self.models.iter().any(|held| held.name == *model)
--- a/crates/cowslip-entry/tests/entry/book_cases.rs
+++ b/crates/cowslip-entry/tests/entry/book_cases.rs
@@ -1,7 +1,7 @@
 //! The choice of an upstream.
 
 use cowslip_entry::{
-    AdapterPlace, ColdLimit, LAPSE_HOLD_MS, ModelNeed, PickScope, RequestNeed, ServiceRule, UpstreamBook,
+    AdapterName, ColdLimit, LAPSE_HOLD_MS, ModelNeed, PickScope, RequestNeed, ServiceRule, UpstreamBook,
     UpstreamPick, WaitCause,
 };
 use cowslip_units::{DomainId, UpstreamId};
@@ -153,10 +153,10 @@
     let mut request = need("s", Some("a"));
     request.model = Some(ModelNeed { model: model("a"), adapter: Some("x".into()) });
     assert_eq!(scene.pick(&request, 0), UpstreamPick::Wait(WaitCause::NoAdapter));
-    let place = AdapterPlace { upstream: upstream("e2"), model: model("a"), adapter: "x".into() };
-    scene.book.told(&[], &[place], &[]);
+    let name = AdapterName { model: model("a"), adapter: "x".into() };
+    scene.book.told_adapters(&upstream("e2"), vec![name]);
     assert_eq!(scene.pick(&request, 0), send("e2"));
-    scene.book.told(&[], &[], &[(upstream("e2"), model("a"))]);
+    scene.book.told(&[], &[(upstream("e2"), model("a"))]);
     // The first engine still holds the model without the adapter.
     assert_eq!(
         scene.pick(&request, 0),
--- a/crates/cowslip-entry/tests/entry/view_cases.rs
+++ b/crates/cowslip-entry/tests/entry/view_cases.rs
@@ -45,8 +45,8 @@
     assert_eq!(view.age_ms(at(13_700)), Some(12_700));
     view.prove(5, at(500));
     assert_eq!(view.age_ms(at(13_700)), Some(12_700), "an older proof does not make it older");
-    view.prove(6, at(13_000));
-    assert_eq!(view.age_ms(at(13_700)), Some(12_700), "another version proves nothing");
+    assert!(!view.prove(6, at(13_000)));
+    assert_eq!(view.age_ms(at(13_700)), Some(12_700), "a change that is not known proves nothing");
     view.prove(5, at(13_000));
     assert_eq!(view.age_ms(at(13_700)), Some(700));
 }
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -5,8 +5,8 @@
 
 use cowslip_adapter::{NodeSettings, StoreClient, StoreRow};
 use cowslip_entry::{
-    ArrivalLine, DemandLine, GatewayReport, ModelNeed, OperatorView, PickScope, RepeatBudget, RequestNeed,
-    RunningLine, ServiceRule, TokenAsk, TokenPurse, UpstreamBook, UpstreamPick, ViewStamp,
+    ArrivalLine, DemandLine, GatewayReport, ModelNeed, NewsMarks, OperatorView, PickScope, RepeatBudget,
+    RequestNeed, RunningLine, ServiceRule, TokenAsk, TokenPurse, UpstreamBook, UpstreamPick, ViewStamp,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::ProcessClock;
@@ -73,8 +73,16 @@
     pub upstreams_known: bool,
     /// Rows of the operators' table as they are in the store, for other gateways.
     pub operator_rows: Vec<StoreRow>,
-    /// Rows of the upstreams' table.
-    pub upstream_rows: Vec<StoreRow>,
+    /// True while the upstreams are known from the store itself, with all that the leader needs.
+    pub upstreams_full: bool,
+    /// The leader whose news are known, and up to where.
+    pub term: u64,
+    /// Up to where its news are known.
+    pub marks: NewsMarks,
+    /// When the leader last told news: the send time of the report.
+    pub news_at: Option<ClockTime>,
+    /// True when the leader knows a change of the operators' table that is not known here.
+    pub behind: bool,
     /// When a store call last failed.
     pub store_failed_at: Option<ClockTime>,
     /// Names of all gateways, sorted.
@@ -127,6 +135,8 @@
     pub changed: Notify,
     /// Wakes the report to the leader.
     pub report_now: Notify,
+    /// Wakes the loops that follow the store.
+    pub follow_now: Notify,
     /// Wakes the leader's duties.
     pub lead_now: Notify,
     /// True when connections of callers are to be closed.
@@ -149,6 +159,7 @@
             pool: UpstreamPool::new(clock),
             changed: Notify::new(),
             report_now: Notify::new(),
+            follow_now: Notify::new(),
             lead_now: Notify::new(),
             closing: watch::Sender::new(false),
             lease: Mutex::new(None),
@@ -186,7 +197,11 @@
             upstream_version: 0,
             upstreams_known: false,
             operator_rows: Vec::new(),
-            upstream_rows: Vec::new(),
+            upstreams_full: false,
+            term: 0,
+            marks: NewsMarks::default(),
+            news_at: None,
+            behind: false,
             store_failed_at: None,
             members: Vec::new(),
             peers: Vec::new(),
@@ -211,8 +226,8 @@
     pub(crate) fn stamp(&self, now: ClockTime) -> ViewStamp {
         ViewStamp {
             version: self.view.version(),
+            changed: self.view.changed(),
             age_ms: self.view.age_ms(now),
-            upstream_version: self.upstream_version,
         }
     }
 
@@ -375,6 +390,8 @@
             gateway: settings.name.clone(),
             address: Some(settings.peers),
             view: self.stamp(now),
+            term: self.term,
+            marks: self.marks,
             demand,
             running: self.running.clone(),
             tokens,
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -131,6 +131,7 @@
             gateway.metrics.lease_changes.inc();
             info!(gateway.logger, "lead_began"; "fence" => fence.get(), "orders_in_ms" => orders_from.since_ms(now));
             gateway.report_now.notify_one();
+            gateway.follow_now.notify_waiters();
         }
         (None, Some(lead)) => {
             let fence = lead.fence;
@@ -174,6 +175,10 @@
     let (Some(lead), Some(config)) = (state.lead.as_mut(), state.view.config().cloned()) else {
         return Vec::new();
     };
+    if !state.upstreams_full {
+        // The weights' places are read from the store first.
+        return Vec::new();
+    }
     let fence = lead.fence;
     let is_engine = |entry: &&UpstreamEntry| {
         config.service(&entry.service).is_some_and(|service| service.engine.is_some())
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -12,11 +12,12 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::http_client::HttpClient;
 use slog::{info, warn};
+use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
-use crate::store_follow::{take_copy, view_copy};
+use crate::store_follow::{take_copy, take_news, view_copy};
 
 /// Pause in ms between reports while requests wait for the leader.
 const URGENT_MS: u64 = 30;
@@ -28,7 +29,7 @@
 const ANSWER_MS: u64 = 400;
 
 /// Age in ms of the own view from which another gateway is asked for its one.
-const VOUCH_AGE_MS: u64 = 2_200;
+const VOUCH_AGE_MS: u64 = 2_600;
 
 /// Serves other gateways.
 #[derive(Clone, Debug)]
@@ -61,6 +62,7 @@
     let lease = lease_news(gateway, now);
     let urgent = report.demand.iter().any(|line| line.waiting > 0);
     let mut state = gateway.lock();
+    let state = &mut *state;
     let view = state.stamp(now);
     let config = state.view.config().cloned();
     let leader = state.leader;
@@ -71,9 +73,9 @@
     if let Some(config) = &config {
         lead.grants.configure(config.teams(), now);
     }
+    lead.note(&state.book, now);
     let services = config.as_ref().map_or(&[][..], |config| config.services());
     let answer = lead.answer(report, services, view, lease, own, now);
-    drop(state);
     if urgent {
         gateway.lead_now.notify_one();
     }
@@ -188,8 +190,11 @@
     let now = gateway.now();
     let mut state = gateway.lock();
     if let Some(age_ms) = answer.view.age_ms {
-        let proven_at = sent_at.minus_ms(age_ms);
-        state.view.prove(answer.view.version, proven_at);
+        let known = state.view.prove(answer.view.changed, sent_at.minus_ms(age_ms));
+        if !known && !state.behind {
+            state.behind = true;
+            gateway.follow_now.notify_waiters();
+        }
     }
     if !answer.leads {
         if answer.leader.is_some() {
@@ -201,10 +206,19 @@
     // The answer may have been on its way for any part of the call, so the renewal is dated by its arrival.
     state.lease_told = answer.lease.map(|lease| (lease.version, now.minus_ms(lease.age_ms)));
     state.peers = answer.peers;
-    state.members = answer.members;
+    take_members(&mut state, answer.members, answer.fresh);
+    if state.lead.is_none() {
+        take_news(gateway, &mut state, answer.upstreams, answer.fresh);
+        state.news_at = Some(sent_at);
+    }
+    for (id, names) in answer.adapters {
+        state.book.told_adapters(&id, names.unwrap_or_default());
+    }
+    state.term = answer.term;
+    state.marks = answer.marks;
     set_own_parts(&mut state, &answer.rooms, now);
     state.arrivals = answer.arrivals;
-    state.book.told(&answer.running, &answer.adapters, &answer.leaving);
+    state.book.told(&answer.running, &answer.leaving);
     for tokens in &mut state.tokens {
         tokens.purse.heard(answer.term);
     }
@@ -218,6 +232,21 @@
     gateway.changed.notify_waiters();
 }
 
+fn take_members(state: &mut GatewayState, news: Vec<(SmolStr, bool)>, fresh: bool) {
+    if fresh {
+        state.members.clear();
+    }
+    for (name, here) in news {
+        match (state.members.binary_search(&name), here) {
+            (Err(at), true) => state.members.insert(at, name),
+            (Ok(at), false) => {
+                state.members.remove(at);
+            }
+            (Ok(_), true) | (Err(_), false) => {}
+        }
+    }
+}
+
 fn take_grant(state: &mut GatewayState, grant: &TokenGrantLine, sent_at: ClockTime, now: ClockTime) {
     let tokens = state.team_tokens(&grant.team, now);
     tokens.purse.granted(grant.granted, sent_at, now);
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -1,24 +1,32 @@
 //! Follows the store's tables, and takes copies from other gateways.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslip_adapter::{
     FeedOutcome, OPERATOR_TABLE, StoreRow, StoreRows, UPSTREAM_TABLE, operator_change, upstream_entry,
 };
-use cowslip_entry::{CopiedRow, OperatorChange, ViewCopy, ViewOutcome};
+use cowslip_entry::{CopiedRow, KnownUpstream, OperatorChange, UpstreamEntry, ViewCopy, ViewOutcome};
 use cowslip_platform::PlatformError;
 use cowslip_units::{ClockTime, UpstreamId};
 use slog::{info, warn};
+use tokio::time::timeout;
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
 
 /// Wait in ms of a call that follows the operators' table. The view's age is at most this and a call's time.
-const OPERATOR_WAIT_MS: u64 = 1_500;
+const OPERATOR_WAIT_MS: u64 = 1_000;
 
 /// Wait in ms of a call that follows the upstreams' table.
 const UPSTREAM_WAIT_MS: u64 = 2_500;
 
+/// Age in ms of what the leader told from which a gateway asks the store itself.
+const OWN_CALL_AGE_MS: u64 = 2_000;
+
+/// Longest pause in ms between two looks whether the store must be asked.
+const REST_MS: u64 = 150;
+
 /// First and longest pause in ms after a failed call.
 const PAUSE_MS: (u64, u64) = (60, 400);
 
@@ -50,16 +58,60 @@
     }
 }
 
-/// Follows a table for as long as the process runs.
+/// What a loop does next.
+enum FollowStep {
+    /// The leader keeps this gateway informed.
+    Rest,
+    /// Read the whole table.
+    ReadAll,
+    /// Ask for what is newer than the version, waiting at most so many ms.
+    Follow(u64, u64),
+}
+
+fn next_step(gateway: &Gateway, table: FollowedTable, history_lost: bool) -> FollowStep {
+    let now = gateway.now();
+    let state = gateway.lock();
+    let leads = state.lead.is_some();
+    match table {
+        FollowedTable::Operators => {
+            let fresh = state.view.age_ms(now).is_some_and(|age| age < OWN_CALL_AGE_MS);
+            if !leads && fresh && !state.behind {
+                return FollowStep::Rest;
+            }
+            if history_lost || state.view.version() == 0 {
+                return FollowStep::ReadAll;
+            }
+            let wait_ms = if state.behind && !leads { 0 } else { table.wait_ms() };
+            FollowStep::Follow(state.view.version(), wait_ms)
+        }
+        FollowedTable::Upstreams => {
+            let informed = state.news_at.is_some_and(|at| now.since_ms(at) < OWN_CALL_AGE_MS);
+            if !leads && informed {
+                return FollowStep::Rest;
+            }
+            if history_lost || !state.upstreams_full {
+                return FollowStep::ReadAll;
+            }
+            FollowStep::Follow(state.upstream_version, table.wait_ms())
+        }
+    }
+}
+
+/// Follows a table for as long as the process runs, when the leader does not tell what is in it.
 pub(crate) async fn follow_table(gateway: Arc<Gateway>, table: FollowedTable) {
-    let mut version: Option<u64> = None;
+    let mut history_lost = false;
     let mut pause_ms = PAUSE_MS.0;
     let mut lost = false;
     loop {
         let sent_at = gateway.now();
-        let result = match version {
-            None => read_all(&gateway, table, sent_at).await,
-            Some(after) => follow_once(&gateway, table, after, sent_at).await,
+        let result = match next_step(&gateway, table, history_lost) {
+            FollowStep::Rest => {
+                // Woken or not, the next look decides.
+                let _ = timeout(Duration::from_millis(REST_MS), gateway.follow_now.notified()).await;
+                continue;
+            }
+            FollowStep::ReadAll => read_all(&gateway, table, sent_at).await,
+            FollowStep::Follow(after, wait_ms) => follow_once(&gateway, table, after, wait_ms, sent_at).await,
         };
         match result {
             Ok(next) => {
@@ -67,14 +119,13 @@
                     info!(gateway.logger, "store_regained"; "table" => table.name(), "version" => next);
                     lost = false;
                 }
-                version = next;
+                history_lost = next.is_none();
                 pause_ms = PAUSE_MS.0;
             }
             Err(error) => {
                 gateway.lock().store_failed_at = Some(gateway.now());
                 if !lost {
-                    warn!(gateway.logger, "store_lost"; "table" => table.name(), "error" => %error,
-                        "version" => version);
+                    warn!(gateway.logger, "store_lost"; "table" => table.name(), "error" => %error);
                     lost = true;
                 }
                 gateway.clock.sleep_ms(pause_ms).await;
@@ -110,9 +161,10 @@
     gateway: &Arc<Gateway>,
     table: FollowedTable,
     after: u64,
+    wait_ms: u64,
     sent_at: ClockTime,
 ) -> Result<Option<u64>, PlatformError> {
-    let result = gateway.store.follow(table.name(), after, table.wait_ms()).await;
+    let result = gateway.store.follow(table.name(), after, wait_ms).await;
     count(gateway, "follow", result.is_err());
     match result? {
         FeedOutcome::HistoryLost => {
@@ -152,6 +204,7 @@
     } else {
         state.view.apply(changes, version, sent_at)
     };
+    state.behind = false;
     apply_outcome(gateway, &mut state, &outcome, now);
     let changed = outcome != ViewOutcome::default();
     let age_ms = state.view.age_ms(now);
@@ -242,7 +295,7 @@
             info!(gateway.logger, "upstream_removed"; "upstream" => %id, "version" => rows.version, "held" => hold);
         }
     }
-    keep_rows(&mut state.upstream_rows, rows.rows, full);
+    state.upstreams_full |= full;
     drop(state);
     gateway.changed.notify_waiters();
     gateway.lead_now.notify_one();
@@ -280,8 +333,7 @@
     ViewCopy {
         view: state.stamp(now),
         operator_rows: copied(&state.operator_rows),
-        upstream_version: state.upstream_version,
-        upstream_rows: copied(&state.upstream_rows),
+        upstreams: state.book.all().iter().map(|known| known.entry.without_copies()).collect(),
     }
 }
 
@@ -298,8 +350,39 @@
     };
     let Some(age_ms) = copy.view.age_ms else { return };
     let operators = StoreRows { rows: rows(copy.operator_rows), version: copy.view.version };
-    let upstreams = StoreRows { rows: rows(copy.upstream_rows), version: copy.upstream_version };
     info!(gateway.logger, "view_copied"; "store_version" => operators.version, "age_ms" => age_ms);
     take_operators(gateway, operators, true, asked_at.minus_ms(age_ms));
-    take_upstreams(gateway, upstreams, true);
+    let upstreams = copy.upstreams.into_iter().map(|entry| (entry.id.clone(), Some(entry))).collect();
+    let mut state = gateway.lock();
+    if state.lead.is_none() {
+        take_news(gateway, &mut state, upstreams, true);
+    }
+}
+
+/// Takes another gateway's word on upstreams; with `fresh`, those not named are gone.
+pub(crate) fn take_news(
+    gateway: &Gateway,
+    state: &mut GatewayState,
+    news: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    fresh: bool,
+) {
+    let now = gateway.now();
+    if fresh {
+        let named = |known: &KnownUpstream| news.iter().any(|(id, _)| *id == known.entry.id);
+        let gone = state.book.all().iter().filter(|known| !named(known));
+        let gone: Vec<UpstreamId> = gone.map(|known| known.entry.id.clone()).collect();
+        for id in gone {
+            state.book.remove(&id, false, now);
+        }
+    }
+    state.upstreams_full = false;
+    state.upstreams_known = true;
+    for (id, entry) in news {
+        match entry {
+            Some(entry) => {
+                state.book.put(entry, now);
+            }
+            None => state.book.remove(&id, false, now),
+        }
+    }
 }
