--- a/crates/cowslip-ctl/src/command_tree.rs
+++ b/crates/cowslip-ctl/src/command_tree.rs
@@ -50,6 +50,7 @@
         .subcommand(switch_command("upstream", "an upstream", |text| {
             UpstreamId::new(text).map(|_| text.to_owned())
         }))
+        .subcommand(trace_command())
         .subcommand(
             Command::new("explain")
                 .about("Shows why a model or adapter is where it is")
@@ -57,6 +58,19 @@
         )
 }
 
+fn trace_command() -> Command {
+    Command::new("trace")
+        .about("Prints one request's story from log files, in order of time; needs no settings")
+        .arg(
+            Arg::new("context")
+                .long("context")
+                .action(ArgAction::SetTrue)
+                .help("Also print what the request's VMs came to believe until it ended"),
+        )
+        .arg(Arg::new("id").value_name("ID").required(true).help("The request's id"))
+        .arg(Arg::new("file").value_name("FILE").required(true).num_args(1..).help("Log files of the VMs"))
+}
+
 fn sheet_file() -> Arg {
     Arg::new("file")
         .value_name("FILE")
--- a/crates/cowslip-ctl/src/main.rs
+++ b/crates/cowslip-ctl/src/main.rs
@@ -15,6 +15,7 @@
 mod sheet_commands;
 mod status_commands;
 mod text_table;
+mod trace_command;
 
 use std::process::ExitCode;
 
@@ -43,6 +44,9 @@
     if name == "check-sheet" {
         return sheet_commands::check_sheet(args);
     }
+    if name == "trace" {
+        return trace_command::trace(args);
+    }
     let client = OperatorClient::from_args(matches)?;
     match name {
         "diff" => sheet_commands::diff(&client, args).await,
--- /dev/null
+++ b/crates/cowslip-ctl/src/trace_command.rs
@@ -0,0 +1,103 @@
+//! `trace`: one request's story from the log files of all VMs, in order of time.
+//!
+//! A line may be preceded by other text, as log collectors add it. Lines that are no JSON objects are passed over and
+//! counted.
+
+use std::fs;
+
+use clap::ArgMatches;
+use serde_json::{Map, Value, json};
+
+use crate::command_failure::CommandFailure;
+use crate::command_report::CommandReport;
+use crate::exit_kind::ExitKind;
+
+/// Fields of every line, which are not repeated among its details.
+const COMMON_FIELDS: [&str; 6] = ["ts", "msg", "vm", "process", "level", "request"];
+
+/// Lines that tell what a VM believed when it decided about requests.
+const BELIEF_LINES: [&str; 14] = [
+    "started",
+    "stopping",
+    "stopped",
+    "view_changed",
+    "view_copied",
+    "store_lost",
+    "store_regained",
+    "history_lost",
+    "leader_lost",
+    "leader_heard",
+    "lead_began",
+    "lead_ended",
+    "upstream_removed",
+    "upstream_lapsed",
+];
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq)]
+struct LogLine {
+    ts: String,
+    vm: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+/// Reads the files and prints the lines about one request. With `--context`, also what its VMs came to believe.
+pub(crate) fn trace(args: &ArgMatches) -> Result<CommandReport, CommandFailure> {
+    let id = args.get_one::<String>("id").cloned().unwrap_or_default();
+    let files: Vec<String> = args.get_many::<String>("file").into_iter().flatten().cloned().collect();
+    let (lines, unreadable) = read_lines(&files)?;
+    let is_own = |line: &LogLine| line.fields.get("request").and_then(Value::as_str) == Some(&id);
+    let own: Vec<&LogLine> = lines.iter().filter(|line| is_own(line)).collect();
+    let vms: Vec<&str> = own.iter().map(|line| line.vm.as_str()).collect();
+    let last = own.iter().map(|line| line.ts.as_str()).max().unwrap_or_default();
+    let context = |line: &&LogLine| {
+        args.get_flag("context")
+            && vms.contains(&line.vm.as_str())
+            && BELIEF_LINES.contains(&line.message.as_str())
+            && line.ts.as_str() <= last
+    };
+    let mut story: Vec<&LogLine> = lines.iter().filter(|line| is_own(line) || context(line)).collect();
+    story.sort_by(|left, right| left.ts.cmp(&right.ts));
+    let text: String = story.iter().map(|line| format!("{}\n", line_text(line))).collect();
+    let text = format!("{text}{} lines of {id}, {unreadable} lines are no JSON", own.len());
+    let json = json!({"request": id, "lines": story.iter().map(|line| &line.fields).collect::<Vec<_>>()});
+    let exit = if own.is_empty() { ExitKind::Refused } else { ExitKind::Done };
+    Ok(CommandReport::new(text, json).with_exit(exit))
+}
+
+fn read_lines(files: &[String]) -> Result<(Vec<LogLine>, usize), CommandFailure> {
+    let mut lines = Vec::new();
+    let mut unreadable = 0;
+    for file in files {
+        let text = fs::read_to_string(file)
+            .map_err(|error| CommandFailure::Usage(format!("cannot read {file}: {error}")))?;
+        for line in text.lines() {
+            match log_line(line) {
+                Some(line) => lines.push(line),
+                None => unreadable += 1,
+            }
+        }
+    }
+    Ok((lines, unreadable))
+}
+
+fn log_line(line: &str) -> Option<LogLine> {
+    let start = line.find('{')?;
+    let Ok(Value::Object(fields)) = serde_json::from_str(line.get(start..)?) else { return None };
+    let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or_default().to_owned();
+    let (ts, vm, message) = (text("ts"), text("vm"), text("msg"));
+    Some(LogLine { ts, vm, message, fields })
+}
+
+fn line_text(line: &LogLine) -> String {
+    let details = line.fields.iter().filter(|(name, _)| !COMMON_FIELDS.contains(&name.as_str()));
+    let details: Vec<String> = details
+        .filter(|(_, value)| !value.is_null())
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    format!("{} {} {} {}", line.ts, line.vm, line.message, details.join(" "))
+}
--- /dev/null
+++ b/crates/cowslip-ctl/tests/trace_files.rs
@@ -0,0 +1,58 @@
+//! `cowslipctl trace` on log files.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn log_file(name: &str, lines: &[&str]) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("cowslip-trace-{}-{name}", std::process::id()));
+    fs::write(&path, lines.join("\n")).expect("log file");
+    path
+}
+
+fn trace(args: &[&str], files: &[&PathBuf]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cowslipctl"));
+    command.arg("trace").args(args);
+    for file in files {
+        command.arg(file);
+    }
+    command.output().expect("cowslipctl")
+}
+
+/// Guards against a story that misses a VM's part, is out of order, or hides what the VM believed.
+#[test]
+fn a_story_is_told_in_order_across_vms() {
+    let first = log_file(
+        "a",
+        &[
+            r#"{"msg":"leader_lost","ts":"2026-01-01T00:00:01.5Z","vm":"a","leader":"x"}"#,
+            r#"12.1 a {"msg":"wait_given_up","ts":"2026-01-01T00:00:02.1Z","vm":"a","request":"r1","cause":"NoModel"}"#,
+            "not json",
+            r#"{"msg":"leader_heard","ts":"2026-01-01T00:00:09.0Z","vm":"a"}"#,
+        ],
+    );
+    let second = log_file(
+        "b",
+        &[
+            r#"{"msg":"request_answered","ts":"2026-01-01T00:00:02.9Z","vm":"b","request":"r1","status":200}"#,
+            r#"{"msg":"request_answered","ts":"2026-01-01T00:00:02.8Z","vm":"b","request":"r2","status":200}"#,
+        ],
+    );
+    let output = trace(&["--context", "r1"], &[&second, &first]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let messages: Vec<&str> = text.lines().filter_map(|line| line.split(' ').nth(2)).collect();
+    assert_eq!(messages, ["leader_lost", "wait_given_up", "request_answered", "of"], "{text}");
+    assert!(text.contains("cause=NoModel") && text.contains("1 lines are no JSON"), "{text}");
+    fs::remove_file(first).expect("removed");
+    fs::remove_file(second).expect("removed");
+}
+
+/// Guards against an unknown id, or a file that cannot be read, that looks like a request without a story.
+#[test]
+fn an_unknown_id_and_a_missing_file_fail() {
+    let file = log_file("c", &["{}"]);
+    assert_eq!(trace(&["r9"], &[&file]).status.code(), Some(1));
+    assert_eq!(trace(&["r9"], &[&PathBuf::from("/nowhere/log")]).status.code(), Some(2));
+    fs::remove_file(file).expect("removed");
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -5,6 +5,16 @@
 
 echo "== format"
 cargo fmt --all -- --check
+echo "== names of the platform"
+scripts/wire_names.sh
+bad=$(mktemp -d)
+mkdir -p "$bad/crates/x/src"
+echo 'const A: &str = "cowslippier-tenant";' > "$bad/crates/x/src/a.rs"
+if scripts/wire_names.sh "$bad" > /dev/null 2>&1; then
+    echo "scripts/wire_names.sh finds nothing" >&2
+    exit 1
+fi
+rm -r "$bad"
 echo "== lint"
 cargo clippy --workspace --all-targets --locked -- -D warnings
 echo "== documentation"
