Leader work that does not grow with the fleet, and a ranked takeover

Cause: on the grown sites gateways read the lease row between two reports (the silence that made them candidates was shorter than the pause of 85 gateways), each report made the leader compare every entry and sum every call, and requests that waited for loads reported 33 times a second. Change: silence and pauses follow the fleet's size, candidates stand in an order of a hash and weak VMs come last, a gateway without a leader asks another gateway who leads; the leader notes news and sums calls once a plan; replicas, copies and running calls are sorted vectors.

--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -41,6 +41,9 @@
 /// Time in ms before an order in doubt is repeated.
 const DOUBT_MS: u64 = 250;
 
+/// Pause in ms between two looks for models that no engine has a copy of.
+const FETCH_PAUSE_MS: u64 = 200;
+
 /// Loads from the weight store that run ahead of demand at most, as a part of those at full speed.
 const AHEAD_PART: f64 = 0.75;
 
@@ -51,6 +54,10 @@
     demand: DemandTable,
     budget: LoadBudget,
     limit: StoreLimit,
+    /// Engines that hold, or are about to hold, each model of the service in hand; sorted.
+    replicas: Vec<(ModelId, usize)>,
+    /// When models were last looked for that no engine has a copy of.
+    fetched_at: ClockTime,
     /// No order is sent before this time: an earlier leader's may still arrive.
     orders_from: ClockTime,
 }
@@ -63,6 +70,8 @@
             demand: DemandTable::new(now),
             budget: LoadBudget::new(now),
             limit,
+            replicas: Vec::new(),
+            fetched_at: ClockTime::ZERO,
             orders_from,
         }
     }
@@ -95,11 +104,8 @@
     ) {
         let mut engines = Vec::with_capacity(self.engines.len());
         for entry in entries {
-            let known = self.find(&entry.id).ok().and_then(|at| self.engines.get(at));
-            let mut engine = match known {
-                Some(known) => known.clone(),
-                None => PlannedEngine::new(entry.clone(), now),
-            };
+            let known = self.find(&entry.id).ok().map(|at| self.engines.remove(at));
+            let mut engine = known.unwrap_or_else(|| PlannedEngine::new(entry.clone(), now));
             engine.update(entry.clone(), now);
             engine.closed = engine.entry.draining || evacuated.contains(&engine.entry.domain);
             engines.push(engine);
@@ -146,6 +152,7 @@
         for service in services {
             let Some(rule) = &service.engine else { continue };
             self.budget.refill(rule.loads_per_s, self.limit.extra, now);
+            self.count_replicas(&service.name);
             self.serve_waiting(&service.name, rule, now);
             self.add_replicas(&service.name, rule, now);
             self.fetch_ahead(&service.name, rule, now);
@@ -178,16 +185,31 @@
         self.engines.iter().filter(from_store).count()
     }
 
-    fn replicas(&self, service: &ServiceId, model: &ModelId) -> usize {
-        let of_service =
-            self.engines.iter().filter(|engine| engine.entry.service == *service && !engine.closed);
-        of_service
-            .filter(|engine| {
-                let leaves = engine.task.as_ref().is_some_and(|task| task.victims.contains(model));
-                let comes = engine.task.as_ref().is_some_and(|task| task.model == *model);
-                (engine.entry.holds(model) && !leaves) || comes
-            })
-            .count()
+    /// Counts the engines that hold, or are about to hold, each model.
+    fn count_replicas(&mut self, service: &ServiceId) {
+        let mut models: Vec<ModelId> = Vec::new();
+        for engine in self.engines.iter().filter(|engine| engine.entry.service == *service && !engine.closed)
+        {
+            let task = engine.task.as_ref();
+            let leaves = |model: &ModelId| task.is_some_and(|task| task.victims.contains(model));
+            let held = engine.entry.models.iter().map(|held| &held.name);
+            models.extend(held.filter(|model| !leaves(model)).cloned());
+            models
+                .extend(task.filter(|task| !engine.entry.holds(&task.model)).map(|task| task.model.clone()));
+        }
+        models.sort();
+        self.replicas.clear();
+        for model in models {
+            match self.replicas.last_mut() {
+                Some((known, count)) if *known == model => *count += 1,
+                _ => self.replicas.push((model, 1)),
+            }
+        }
+    }
+
+    fn replicas(&self, model: &ModelId) -> usize {
+        let at = self.replicas.binary_search_by(|(known, _)| known.cmp(model));
+        at.ok().and_then(|at| self.replicas.get(at)).map_or(0, |(_, count)| *count)
     }
 
     /// Loads models that requests wait for, the most urgent first.
@@ -199,7 +221,7 @@
             by_number.then(right.oldest_ms.cmp(&left.oldest_ms))
         });
         for demand in waiting {
-            if self.replicas(service, &demand.model) == 0 {
+            if self.replicas(&demand.model) == 0 {
                 self.start_load(service, rule, &demand.model, false, now);
             }
         }
@@ -223,7 +245,7 @@
             .collect();
         busy.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
         for demand in busy.iter().filter(|demand| demand.per_s >= BUSY_PER_S) {
-            if self.replicas(service, &demand.model) < self.wanted_replicas(demand, engines) {
+            if self.replicas(&demand.model) < self.wanted_replicas(demand, engines) {
                 self.start_load(service, rule, &demand.model, true, now);
             }
         }
@@ -232,16 +254,17 @@
     /// Fetches models that no engine has on its disk, while the weight store has room.
     fn fetch_ahead(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
         let most = ((self.limit.at_once as f64 * AHEAD_PART) as usize).max(1);
-        if self.store_loads() >= most {
+        if self.store_loads() >= most || now.since_ms(self.fetched_at) < FETCH_PAUSE_MS {
             return;
         }
-        let copied = |model: &ModelId| {
-            self.engines.iter().any(|engine| {
-                engine.tier(model) != WeightTier::Store
-                    || engine.entry.holds(model)
-                    || engine.task.as_ref().is_some_and(|task| task.model == *model)
-            })
-        };
+        self.fetched_at = now;
+        let mut copies: Vec<&ModelId> = Vec::new();
+        for engine in &self.engines {
+            copies.extend(engine.entry.in_memory.iter().chain(&engine.entry.on_disk));
+        }
+        copies.sort();
+        copies.dedup();
+        let copied = |model: &ModelId| copies.binary_search(&model).is_ok() || self.replicas(model) > 0;
         let rate = |model: &ModelId| self.demand.get(model).map_or(0.0, |demand| demand.per_s);
         let missing = rule.models.iter().map(|model| &model.name).filter(|model| !copied(model));
         let next = missing.max_by(|left, right| rate(left).total_cmp(&rate(right))).cloned();
@@ -302,6 +325,7 @@
                 conflicts: 0,
             });
         }
+        self.count_replicas(service);
     }
 
     /// The models that should make way for `size_mb`, and what their loss costs in ms; `None` when none may.
@@ -344,7 +368,7 @@
         now: ClockTime,
     ) -> Option<f64> {
         let running = self.demand.running_at(&engine.entry.id, model, None);
-        let replicas = self.replicas(&engine.entry.service, model);
+        let replicas = self.replicas(model);
         let demand = self.demand.get(model);
         let per_s = demand.map_or(0.0, |demand| demand.per_s);
         let waiting = demand.map_or(0, |demand| demand.waiting);
--- a/crates/cowslip-entry/src/model_demand.rs
+++ b/crates/cowslip-entry/src/model_demand.rs
@@ -3,7 +3,7 @@
 use cowslip_units::{ClockTime, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
-use crate::{GatewayReport, ModelNeed};
+use crate::{GatewayReport, ModelNeed, RunningLine};
 
 /// Time in ms over which rates are smoothed.
 const SMOOTH_MS: f64 = 5_000.0;
@@ -54,6 +54,8 @@
     models: Vec<ModelDemand>,
     adapters: Vec<(ModelNeed, ClockTime)>,
     reports: Vec<HeardReport>,
+    /// Running calls by upstream, model and adapter, summed over the reports; sorted.
+    running: Vec<RunningLine>,
     smoothed_at: ClockTime,
 }
 
@@ -142,6 +144,7 @@
                 }
             }
         }
+        self.running = sum_running(&reports);
         self.reports = reports;
         for demand in &mut self.models {
             demand.smooth_running = demand.smooth_running * keep + f64::from(demand.running) * (1.0 - keep);
@@ -186,28 +189,52 @@
 
     /// Calls of the fleet for a model, or an adapter of it, at an upstream.
     pub fn running_at(&self, upstream: &UpstreamId, model: &ModelId, adapter: Option<&SmolStr>) -> u32 {
-        let lines = self.reports.iter().flat_map(|heard| &heard.report.running);
-        let of_model = lines.filter(|line| line.upstream == *upstream && line.model.as_ref() == Some(model));
+        let before = |line: &RunningLine| (&line.upstream, line.model.as_ref()) < (upstream, Some(model));
+        let first = self.running.partition_point(before);
+        let lines = self.running.get(first..).unwrap_or_default().iter();
+        let of_model =
+            lines.take_while(|line| line.upstream == *upstream && line.model.as_ref() == Some(model));
         of_model
             .filter(|line| adapter.is_none() || line.adapter.as_ref() == adapter)
             .map(|line| line.count)
             .sum()
     }
 
-    /// Calls of the fleet at each upstream but for those of `except`, sorted by upstream.
-    pub fn running(&self, except: &str) -> Vec<(UpstreamId, u32)> {
+    /// Calls of the fleet at each upstream but for `own` ones, as of the last [`refresh`](Self::refresh).
+    pub fn running_beside(&self, own: &[RunningLine]) -> Vec<(UpstreamId, u32)> {
         let mut lines: Vec<(UpstreamId, u32)> = Vec::new();
-        let others = self.reports.iter().filter(|heard| heard.gateway != except);
-        for line in others.flat_map(|heard| &heard.report.running) {
-            match lines.binary_search_by(|(upstream, _)| upstream.cmp(&line.upstream)) {
-                Ok(at) => lines[at].1 += line.count,
-                Err(at) => lines.insert(at, (line.upstream.clone(), line.count)),
+        for line in &self.running {
+            match lines.last_mut() {
+                Some((upstream, count)) if *upstream == line.upstream => *count += line.count,
+                _ => lines.push((line.upstream.clone(), line.count)),
             }
         }
+        for line in own {
+            if let Ok(at) = lines.binary_search_by(|(upstream, _)| upstream.cmp(&line.upstream)) {
+                lines[at].1 = lines[at].1.saturating_sub(line.count);
+            }
+        }
+        lines.retain(|(_, count)| *count > 0);
         lines
     }
 }
 
+/// Sums equal lines of all reports.
+fn sum_running(reports: &[HeardReport]) -> Vec<RunningLine> {
+    let mut lines: Vec<RunningLine> =
+        reports.iter().flat_map(|heard| heard.report.running.iter().cloned()).collect();
+    let key = |line: &RunningLine| (line.upstream.clone(), line.model.clone(), line.adapter.clone());
+    lines.sort_by_key(key);
+    lines.dedup_by(|next, kept| {
+        let same = next.upstream == kept.upstream && next.model == kept.model && next.adapter == kept.adapter;
+        if same {
+            kept.count += next.count;
+        }
+        same
+    });
+    lines
+}
+
 impl ModelDemand {
     fn new(model: ModelId, now: ClockTime) -> Self {
         Self {
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -290,6 +290,12 @@
         self.waiting.retain(|waiting| waiting.ticket != ticket);
     }
 
+    /// True when a request waits for something that takes milliseconds: tokens, or an adapter.
+    pub(crate) fn waits_briefly(&self) -> bool {
+        let adapter = |waiting: &WaitingNeed| waiting.unplaced && waiting.need.adapter.is_some();
+        self.tokens.iter().any(|tokens| tokens.short > 0) || self.waiting.iter().any(adapter)
+    }
+
     /// True when a request waits for what no upstream holds.
     pub(crate) fn has_unplaced(&self) -> bool {
         self.waiting.iter().any(|waiting| waiting.unplaced)
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -7,7 +7,10 @@
 use bytes::Bytes;
 use cowslip_adapter::header_names::EXPECT_UPSTREAM;
 use cowslip_adapter::{ORDER_PATH, REPORT_PATH, engine_status, order_answer, order_body};
-use cowslip_entry::{EngineOrder, EngineStatus, OrderAnswer, PlanStep, UpstreamEntry};
+use cowslip_entry::{
+    EngineOrder, EngineStatus, GrantBook, LoadPlanner, OrderAnswer, PlanStep, UpstreamEntry, heard_ms,
+    rank_of,
+};
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
 use cowslip_platform::TableService;
 use cowslip_units::{ClockTime, FenceNumber, UpstreamId};
@@ -27,12 +30,25 @@
 /// Longest sleep in ms between two looks at the lease.
 const LOOK_MS: u64 = 100;
 
-/// Time in ms without an answer of the leader after which a candidate reads the lease row.
-const SILENT_MS: u64 = 600;
+/// Time in ms on top of two reports without an answer of the leader after which a candidate reads the lease row.
+const SILENT_MS: u64 = 100;
+
+/// Time in ms that each candidate leaves to those before it in the order of a hash, so that one takes over and the others
+/// hear of it.
+const RANK_MS: u64 = 150;
+
+/// Longest such time in ms.
+const MAX_RANK_MS: u64 = 3_000;
+
+/// Time in ms that a VM with little processor time or a narrow link leaves to the others.
+const WEAK_MS: u64 = 500;
 
 /// Time in ms on top of the required gap between the orders of two holders.
 const GAP_MARGIN_MS: u64 = 200;
 
+/// Part of the limit's tolerance that a leader grants at once when it does not know what was granted before it.
+const TOLERANCE_PART: f64 = 0.2;
+
 /// Longest pause in ms between two plans.
 const PLAN_MS: u64 = 60;
 
@@ -48,6 +64,9 @@
 /// Keeps the lease until it is released at a planned stop.
 pub(crate) async fn lease_loop(gateway: Arc<Gateway>, own: LeaseHolder) {
     let mut lease = LeaderLease::new(own).with_times(LEASE_TIMES);
+    if gateway.settings.weak {
+        gateway.clock.sleep_ms(WEAK_MS).await;
+    }
     loop {
         let now = gateway.now();
         if gateway.lock().stopping_at.is_some() {
@@ -91,7 +110,12 @@
 /// True while a leader answers this gateway's reports: the lease row need not be read.
 fn follows_well(gateway: &Gateway, lease: &LeaderLease, now: ClockTime) -> bool {
     let state = gateway.lock();
-    let heard = state.leader_heard_at.is_some_and(|at| now.since_ms(at) < SILENT_MS);
+    let name = &gateway.settings.name;
+    let rank = rank_of(state.term, name, &state.members) as u64;
+    let rank_ms = (rank * RANK_MS).min(MAX_RANK_MS);
+    let weak_ms = if gateway.settings.weak { WEAK_MS } else { 0 };
+    let silent_ms = heard_ms(state.members.len()) + SILENT_MS + rank_ms + weak_ms;
+    let heard = state.leader_heard_at.is_some_and(|at| now.since_ms(at) < silent_ms);
     heard && !lease.is_leader(now) && state.lead.is_none()
 }
 
@@ -116,17 +140,12 @@
             let earlier = lease.earlier_until(now);
             let gap_ms = gateway.settings.order_gap_ms + GAP_MARGIN_MS;
             let orders_from = earlier.map_or(now, |until| until.plus_ms(gap_ms));
-            let lead = LeaderState::new(
-                fence,
-                gateway.settings.loads,
-                gateway.settings.rate_window_ms,
-                gateway.settings.rate_tolerance,
-                earlier.is_none(),
-                &state.members,
-                orders_from,
-                now,
-            );
-            state.lead = Some(lead);
+            let settings = &gateway.settings;
+            let slack = (settings.rate_tolerance as f64 * TOLERANCE_PART) as u64;
+            let grants = GrantBook::new(settings.rate_window_ms, slack, earlier.is_some(), now);
+            let grants = grants.with_members(&state.members);
+            let planner = LoadPlanner::new(settings.loads, orders_from, now);
+            state.lead = Some(LeaderState::new(fence, planner, grants));
             drop(state);
             gateway.metrics.lease_changes.inc();
             info!(gateway.logger, "lead_began"; "fence" => fence.get(), "orders_in_ms" => orders_from.since_ms(now));
@@ -186,6 +205,7 @@
     let entries = state.book.all().iter().map(|known| &known.entry).filter(is_engine);
     lead.planner.sync(entries, &state.evacuated, now);
     let steps = lead.planner.step(config.services(), now);
+    lead.note(&state.book, now);
     steps.into_iter().map(|step| (step, fence)).collect()
 }
 
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -22,6 +22,12 @@
 /// Pause in ms between reports while requests wait for the leader.
 const URGENT_MS: u64 = 30;
 
+/// Pause in ms that each gateway of a large fleet adds to it.
+const URGENT_MS_PER_MEMBER: u64 = 3;
+
+/// Pause in ms between reports while requests wait for loads, which take a second and more.
+const LOAD_WAIT_MS: u64 = 120;
+
 /// Shortest pause in ms between two reports.
 const LEAST_MS: u64 = 4;
 
@@ -63,6 +69,10 @@
     let urgent = report.demand.iter().any(|line| line.waiting > 0);
     let mut state = gateway.lock();
     let state = &mut *state;
+    if report.gateway.is_empty() {
+        let leader = if state.lead.is_some() { Some(gateway.settings.peers) } else { state.leader };
+        return LeaderAnswer { leader, ..LeaderAnswer::default() };
+    }
     let view = state.stamp(now);
     let config = state.view.config().cloned();
     let leader = state.leader;
@@ -73,7 +83,6 @@
     if let Some(config) = &config {
         lead.grants.configure(config.teams(), now);
     }
-    lead.note(&state.book, now);
     let services = config.as_ref().map_or(&[][..], |config| config.services());
     let answer = lead.answer(report, services, view, lease, own, now);
     if urgent {
@@ -138,6 +147,9 @@
         } else {
             None
         };
+        if answer.is_none() && !leads {
+            learn_from_peer(&gateway, &mut clients, &mut next_peer).await;
+        }
         let led = answer.as_ref().is_some_and(|(answer, _)| answer.leads);
         if led != heard {
             heard = led;
@@ -155,6 +167,23 @@
     }
 }
 
+/// Asks another gateway who leads, so that not every gateway reads the lease row when the leader is lost.
+async fn learn_from_peer(gateway: &Arc<Gateway>, clients: &mut PeerClients, next_peer: &mut usize) {
+    let peers = gateway.lock().peers.clone();
+    let Some(peer) = peers.get(*next_peer % peers.len().max(1)).copied() else { return };
+    *next_peer += 1;
+    let Some(client) = clients.get(gateway, peer) else { return };
+    // An empty report tells nothing and asks for nothing.
+    match client.gateway_report(GatewayReport::default()).await {
+        Ok(answer) => {
+            if let Some(leader) = answer.leader {
+                gateway.lock().leader = Some(leader);
+            }
+        }
+        Err(_) => clients.forget(peer),
+    }
+}
+
 async fn ask_leader(
     gateway: &Arc<Gateway>,
     clients: &mut PeerClients,
@@ -293,8 +322,16 @@
 async fn pause(gateway: &Gateway) {
     let pause_ms = {
         let state = gateway.lock();
-        let waits = state.has_unplaced() || state.tokens.iter().any(|tokens| tokens.short > 0);
-        if waits { URGENT_MS } else { report_pause_ms(state.members.len()) }
+        let members = state.members.len();
+        let usual_ms = report_pause_ms(members);
+        let urgent_ms = URGENT_MS.max(members as u64 * URGENT_MS_PER_MEMBER);
+        if state.waits_briefly() {
+            urgent_ms.min(usual_ms)
+        } else if state.has_unplaced() {
+            LOAD_WAIT_MS.max(urgent_ms).min(usual_ms)
+        } else {
+            usual_ms
+        }
     };
     let woken = timeout(Duration::from_millis(pause_ms), gateway.report_now.notified()).await;
     if woken.is_ok() {
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -4,14 +4,11 @@
 
 use cowslip_entry::{
     AdapterName, GatewayReport, GrantBook, LeaderAnswer, LeaseNews, LoadPlanner, NewsLog, NewsMarks,
-    ServiceRule, StoreLimit, UpstreamBook, UpstreamEntry, ViewStamp, adapters_of,
+    ServiceRule, UpstreamBook, UpstreamEntry, ViewStamp, adapters_of,
 };
 use cowslip_units::{ClockTime, FenceNumber, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
-/// Part of the limit's tolerance that a leader grants at once when it does not know what was granted before it.
-const TOLERANCE_PART: f64 = 0.2;
-
 /// Addresses told with an answer at most.
 const MAX_PEERS: usize = 8;
 
@@ -31,22 +28,12 @@
 }
 
 impl LeaderState {
-    /// A leader that sends orders from `orders_from` on; `first` when nobody has led before.
-    pub(crate) fn new(
-        fence: FenceNumber,
-        limit: StoreLimit,
-        window_ms: u64,
-        tolerance: u64,
-        first: bool,
-        members: &[SmolStr],
-        orders_from: ClockTime,
-        now: ClockTime,
-    ) -> Self {
-        let slack = (tolerance as f64 * TOLERANCE_PART) as u64;
+    /// A leader with a plan and a book that know nothing yet.
+    pub(crate) fn new(fence: FenceNumber, planner: LoadPlanner, grants: GrantBook) -> Self {
         Self {
             fence,
-            planner: LoadPlanner::new(limit, orders_from, now),
-            grants: GrantBook::new(window_ms, slack, !first, now).with_members(members),
+            planner,
+            grants,
             addresses: Vec::new(),
             upstreams: NewsLog::new(),
             adapters: NewsLog::new(),
@@ -54,8 +41,12 @@
         }
     }
 
-    /// Takes note of what the gateways are to be told of upstreams and adapters.
+    /// Takes note of what the gateways are to be told of upstreams, adapters and members. Done with each plan and not
+    /// with each report, of which a large fleet sends hundreds a second.
     pub(crate) fn note(&mut self, book: &UpstreamBook, now: ClockTime) {
+        let members = self.grants.members();
+        self.addresses.retain(|(name, _)| members.binary_search(name).is_ok());
+        self.members.sync(members.into_iter().map(|name| (name, ())));
         let entries = book.all().iter().map(|known| (known.entry.id.clone(), known.entry.without_copies()));
         self.upstreams.sync(entries);
         let engines = self.planner.engines().iter();
@@ -85,10 +76,8 @@
             self.addresses.push((gateway.clone(), address));
         }
         let grants = self.grants.grant(&report.tokens, now);
+        let running = self.planner.demand().running_beside(&report.running);
         self.planner.heard(report, now);
-        let members = self.grants.members();
-        self.addresses.retain(|(name, _)| members.binary_search(name).is_ok());
-        self.members.sync(members.into_iter().map(|name| (name, ())));
         let others = self.addresses.iter().rev().filter(|(name, _)| *name != gateway);
         LeaderAnswer {
             leads: true,
@@ -113,7 +102,7 @@
                 .collect(),
             grants,
             rooms: self.grants.rooms(now),
-            running: self.planner.demand().running(&gateway),
+            running,
             arrivals,
             leaving: self.planner.leaving(),
         }
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -24,6 +24,9 @@
 /// Age in ms of what the leader told from which a gateway asks the store itself.
 const OWN_CALL_AGE_MS: u64 = 2_000;
 
+/// Time in ms for which a gateway without a leader collects changes of upstreams.
+const COLLECT_MS: u64 = 700;
+
 /// Longest pause in ms between two looks whether the store must be asked.
 const REST_MS: u64 = 150;
 
@@ -58,6 +61,15 @@
     }
 }
 
+/// A gateway that does not lead collects changes of upstreams for a while: in a large fleet each change would otherwise
+/// answer a call of every gateway without a leader.
+async fn rest_between(gateway: &Gateway, table: FollowedTable) {
+    let leads = gateway.lock().lead.is_some();
+    if table == FollowedTable::Upstreams && !leads {
+        gateway.clock.sleep_ms(COLLECT_MS).await;
+    }
+}
+
 /// What a loop does next.
 enum FollowStep {
     /// The leader keeps this gateway informed.
@@ -120,6 +132,7 @@
                     lost = false;
                 }
                 history_lost = next.is_none();
+                rest_between(&gateway, table).await;
                 pause_ms = PAUSE_MS.0;
             }
             Err(error) => {
