A leader of a large fleet survives its first second; staleness of upstreams follows the drain bound

Change: four whole answers a plan, copies only while the store refuses the gateway, the answer's time grows with the fleet, lease valid for 2 s; the leader tells the age of its own upstream table and gateways ask the store 500 ms before the drain bound.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -17,6 +17,8 @@
     pub changed: u64,
     /// Age in ms of the store call that proved it; `None` when it is not proven.
     pub age_ms: Option<u64>,
+    /// Age in ms of the store call that proved the upstreams' table; `None` when it is not proven.
+    pub upstream_age_ms: Option<u64>,
 }
 
 /// Requests for a model, or for one of its adapters, at a gateway.
@@ -158,6 +160,8 @@
     pub term: u64,
     /// The answering gateway's lease, when it leads.
     pub lease: Option<LeaseNews>,
+    /// True when the news are left for a later answer, because many gateways need everything at once.
+    pub deferred: bool,
     /// True when the news are everything that there is.
     pub fresh: bool,
     /// Up to where the news go.
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -79,8 +79,8 @@
     pub term: u64,
     /// Up to where its news are known.
     pub marks: NewsMarks,
-    /// When the leader last told news: the send time of the report.
-    pub news_at: Option<ClockTime>,
+    /// Send time of the store call, the own one or the leader's, that last proved what is known of upstreams.
+    pub upstreams_at: Option<ClockTime>,
     /// True when the leader knows a change of the operators' table that is not known here.
     pub behind: bool,
     /// When a store call last failed.
@@ -200,7 +200,7 @@
             upstreams_full: false,
             term: 0,
             marks: NewsMarks::default(),
-            news_at: None,
+            upstreams_at: None,
             behind: false,
             store_failed_at: None,
             members: Vec::new(),
@@ -228,6 +228,7 @@
             version: self.view.version(),
             changed: self.view.changed(),
             age_ms: self.view.age_ms(now),
+            upstream_age_ms: self.upstreams_at.map(|at| now.since_ms(at)),
         }
     }
 
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -24,8 +24,8 @@
 use crate::leader_state::LeaderState;
 use crate::upstream_pool::SendFault;
 
-/// Times of the lease: valid for 1.5 s, renewed every 0.6 s.
-const LEASE_TIMES: LeaseTimes = LeaseTimes::new(1_500, 600, 150);
+/// Times of the lease: valid for 2 s, renewed every 0.6 s. A leader on a small VM may be busy for a second.
+const LEASE_TIMES: LeaseTimes = LeaseTimes::new(2_000, 600, 150);
 
 /// Longest sleep in ms between two looks at the lease.
 const LOOK_MS: u64 = 100;
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -31,8 +31,9 @@
 /// Shortest pause in ms between two reports.
 const LEAST_MS: u64 = 4;
 
-/// Time in ms for the leader to answer.
-const ANSWER_MS: u64 = 400;
+/// Time in ms for another gateway to answer, and what each member of the fleet adds: a leader may have reports of all of
+/// them before it.
+const ANSWER_MS: (u64, u64) = (400, 5);
 
 /// Age in ms of the own view from which another gateway is asked for its one.
 const VOUCH_AGE_MS: u64 = 2_600;
@@ -109,7 +110,8 @@
         if let Some((_, client)) = self.clients.iter().find(|(known, _)| *known == address) {
             return Some(client.clone());
         }
-        match connect(address, ANSWER_MS) {
+        let members = gateway.lock().members.len() as u64;
+        match connect(address, ANSWER_MS.0 + ANSWER_MS.1 * members) {
             Ok(client) => {
                 self.clients.push((address, client.clone()));
                 Some(client)
@@ -236,15 +238,18 @@
     state.lease_told = answer.lease.map(|lease| (lease.version, now.minus_ms(lease.age_ms)));
     state.peers = answer.peers;
     take_members(&mut state, answer.members, answer.fresh);
-    if state.lead.is_none() {
+    if state.lead.is_none() && !answer.deferred {
         take_news(gateway, &mut state, answer.upstreams, answer.fresh);
-        state.news_at = Some(sent_at);
+        let proven_at = answer.view.upstream_age_ms.map(|age_ms| sent_at.minus_ms(age_ms));
+        state.upstreams_at = state.upstreams_at.max(proven_at);
     }
     for (id, names) in answer.adapters {
         state.book.told_adapters(&id, names.unwrap_or_default());
     }
-    state.term = answer.term;
-    state.marks = answer.marks;
+    if !answer.deferred {
+        state.term = answer.term;
+        state.marks = answer.marks;
+    }
     set_own_parts(&mut state, &answer.rooms, now);
     state.arrivals = answer.arrivals;
     state.book.told(&answer.running, &answer.leaving);
@@ -299,7 +304,9 @@
     let now = gateway.now();
     let (old, peer) = {
         let state = gateway.lock();
-        let old = state.view.age_ms(now).is_none_or(|age| age >= VOUCH_AGE_MS);
+        // A copy is large: it is asked for only when the store does not answer this gateway.
+        let refused = state.store_failed_at.is_some_and(|at| now.since_ms(at) < VOUCH_AGE_MS);
+        let old = refused && state.view.age_ms(now).is_none_or(|age| age >= VOUCH_AGE_MS);
         let mut peers = state.peers.clone();
         if state.lead.is_none() {
             peers.extend(state.leader);
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -9,6 +9,10 @@
 use cowslip_units::{ClockTime, FenceNumber, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
+/// Gateways that are told everything between two plans at most. A new leader that told all of a large fleet at once was
+/// busy for longer than its lease.
+const WHOLE_ANSWERS: u32 = 4;
+
 /// Addresses told with an answer at most.
 const MAX_PEERS: usize = 8;
 
@@ -22,6 +26,8 @@
     /// Tokens of the teams.
     pub grants: GrantBook,
     addresses: Vec<(SmolStr, SocketAddr)>,
+    /// Gateways that may still be told everything before the next plan.
+    whole_left: u32,
     upstreams: NewsLog<UpstreamId, UpstreamEntry>,
     adapters: NewsLog<UpstreamId, Vec<AdapterName>>,
     members: NewsLog<SmolStr, ()>,
@@ -35,6 +41,7 @@
             planner,
             grants,
             addresses: Vec::new(),
+            whole_left: WHOLE_ANSWERS,
             upstreams: NewsLog::new(),
             adapters: NewsLog::new(),
             members: NewsLog::new(),
@@ -44,6 +51,7 @@
     /// Takes note of what the gateways are to be told of upstreams, adapters and members. Done with each plan and not
     /// with each report, of which a large fleet sends hundreds a second.
     pub(crate) fn note(&mut self, book: &UpstreamBook, now: ClockTime) {
+        self.whole_left = WHOLE_ANSWERS;
         let members = self.grants.members();
         self.addresses.retain(|(name, _)| members.binary_search(name).is_ok());
         self.members.sync(members.into_iter().map(|name| (name, ())));
@@ -65,7 +73,20 @@
     ) -> LeaderAnswer {
         let gateway = report.gateway.clone();
         let own_news = report.term == self.fence.get();
-        let marks = if own_news { report.marks } else { NewsMarks::default() };
+        let deferred = !own_news && self.whole_left == 0;
+        if !own_news && !deferred {
+            self.whole_left -= 1;
+        }
+        let newest = NewsMarks {
+            upstreams: self.upstreams.mark(),
+            adapters: self.adapters.mark(),
+            members: self.members.mark(),
+        };
+        let marks = match (own_news, deferred) {
+            (true, _) => report.marks,
+            (false, true) => newest,
+            (false, false) => NewsMarks::default(),
+        };
         let waits =
             |model: &ModelId| report.demand.iter().any(|line| line.model == *model && line.waiting > 0);
         let arrivals = self.planner.arrivals(services, now);
@@ -86,12 +107,9 @@
             view,
             lease,
             peers: others.map(|(_, address)| *address).take(MAX_PEERS).collect(),
-            fresh: !own_news,
-            marks: NewsMarks {
-                upstreams: self.upstreams.mark(),
-                adapters: self.adapters.mark(),
-                members: self.members.mark(),
-            },
+            deferred,
+            fresh: !own_news && !deferred,
+            marks: newest,
             upstreams: self.upstreams.since(marks.upstreams),
             adapters: self.adapters.since(marks.adapters),
             members: self
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -15,14 +15,16 @@
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
 
-/// Wait in ms of a call that follows the operators' table. The view's age is at most this and a call's time.
-const OPERATOR_WAIT_MS: u64 = 1_000;
+/// Wait in ms of a call that follows the operators' table. The leader's view is as old as this and a call's time at
+/// most, that of the others by a report's pause older.
+const OPERATOR_WAIT_MS: u64 = 700;
 
 /// Wait in ms of a call that follows the upstreams' table.
-const UPSTREAM_WAIT_MS: u64 = 2_500;
+const UPSTREAM_WAIT_MS: u64 = 700;
 
-/// Age in ms of what the leader told from which a gateway asks the store itself.
-const OWN_CALL_AGE_MS: u64 = 2_000;
+/// A gateway asks the store itself when what the leader told is so many ms short of the time in which a leaving upstream
+/// must get nothing more.
+const OWN_CALL_MARGIN_MS: u64 = 500;
 
 /// Time in ms for which a gateway without a leader collects changes of upstreams.
 const COLLECT_MS: u64 = 700;
@@ -84,9 +86,10 @@
     let now = gateway.now();
     let state = gateway.lock();
     let leads = state.lead.is_some();
+    let own_call_ms = gateway.settings.drain_ms.saturating_sub(OWN_CALL_MARGIN_MS);
     match table {
         FollowedTable::Operators => {
-            let fresh = state.view.age_ms(now).is_some_and(|age| age < OWN_CALL_AGE_MS);
+            let fresh = state.view.age_ms(now).is_some_and(|age| age < own_call_ms);
             if !leads && fresh && !state.behind {
                 return FollowStep::Rest;
             }
@@ -97,7 +100,7 @@
             FollowStep::Follow(state.view.version(), wait_ms)
         }
         FollowedTable::Upstreams => {
-            let informed = state.news_at.is_some_and(|at| now.since_ms(at) < OWN_CALL_AGE_MS);
+            let informed = state.upstreams_at.is_some_and(|at| now.since_ms(at) < own_call_ms);
             if !leads && informed {
                 return FollowStep::Rest;
             }
@@ -165,7 +168,7 @@
     let version = rows.version;
     match table {
         FollowedTable::Operators => take_operators(gateway, rows, true, sent_at),
-        FollowedTable::Upstreams => take_upstreams(gateway, rows, true),
+        FollowedTable::Upstreams => take_upstreams(gateway, rows, true, sent_at),
     }
     Ok(Some(version))
 }
@@ -189,7 +192,7 @@
             let rows = StoreRows { rows: rows.rows, version };
             match table {
                 FollowedTable::Operators => take_operators(gateway, rows, false, sent_at),
-                FollowedTable::Upstreams => take_upstreams(gateway, rows, false),
+                FollowedTable::Upstreams => take_upstreams(gateway, rows, false, sent_at),
             }
             Ok(Some(version))
         }
@@ -255,13 +258,14 @@
 }
 
 /// Applies rows of the upstreams' table.
-fn take_upstreams(gateway: &Gateway, rows: StoreRows, full: bool) {
+fn take_upstreams(gateway: &Gateway, rows: StoreRows, full: bool, sent_at: ClockTime) {
     let now = gateway.now();
     let mut state = gateway.lock();
     if rows.version < state.upstream_version {
         return;
     }
     state.upstream_version = rows.version;
+    state.upstreams_at = state.upstreams_at.max(Some(sent_at));
     state.upstreams_known = true;
     let hold = state.store_failed_at.is_some_and(|at| now.since_ms(at) < TROUBLE_MS);
     let mut seen: Vec<UpstreamId> = Vec::new();
