--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -229,7 +229,8 @@
 
     /// Replicas that a model should have.
     fn wanted_replicas(&self, demand: &ModelDemand, engines: usize) -> usize {
-        let by_calls = (demand.smooth_running / CALLS_PER_REPLICA).ceil() as usize;
+        let calls = demand.smooth_running.max(f64::from(demand.running)) + f64::from(demand.waiting);
+        let by_calls = (calls / CALLS_PER_REPLICA).ceil() as usize;
         let least = usize::from(demand.per_s >= BUSY_PER_S) * 2;
         by_calls.max(least).min(engines.div_ceil(2))
     }
@@ -244,7 +245,8 @@
             .cloned()
             .collect();
         busy.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
-        for demand in busy.iter().filter(|demand| demand.per_s >= BUSY_PER_S) {
+        let crowded = |demand: &&ModelDemand| demand.per_s >= BUSY_PER_S || demand.waiting > 0;
+        for demand in busy.iter().filter(crowded) {
             if self.replicas(&demand.model) < self.wanted_replicas(demand, engines) {
                 self.start_load(service, rule, &demand.model, true, now);
             }
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -162,6 +162,28 @@
     assert!(desk.orders(5_010).is_empty());
 }
 
+/// Plays the load of a model whose only engine is full: many calls run there and more wait. Guards against waiting
+/// requests that are given up while idle engines could hold a replica.
+#[test]
+fn a_full_engine_gets_a_replica_beside_it() {
+    let mut desk =
+        Desk::new(vec![engine("e1", &["a", "b"]), engine("e2", &["c", "d"]), engine("e3", &["e", "f"])]);
+    desk.orders(0);
+    let line =
+        DemandLine { model: model("a"), adapter: None, arrived: 1, waiting: 4, oldest_ms: 50, priority: 1 };
+    let running = RunningLine { upstream: upstream("e1"), model: Some(model("a")), adapter: None, count: 8 };
+    let report = GatewayReport {
+        gateway: "g".into(),
+        demand: vec![line],
+        running: vec![running],
+        ..GatewayReport::default()
+    };
+    desk.planner.heard(report, at(100));
+    let orders = desk.orders(100);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_ne!(orders[0].upstream, upstream("e1"));
+}
+
 /// Guards against more loads from the weight store than it allows, also right after a change of leaders.
 #[test]
 fn loads_from_the_store_keep_to_the_ceiling() {
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -286,7 +286,9 @@
     now: ClockTime,
 ) -> Option<u64> {
     let mut state = gateway.lock();
-    let unplaced = matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter) && flight.need.model.is_some();
+    // More replicas help where none is held, and where those that are held are full.
+    let placement = matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter | WaitCause::Full);
+    let unplaced = placement && flight.need.model.is_some();
     if state.set_unplaced(ticket, unplaced) {
         gateway.report_now.notify_one();
     }
