--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -103,10 +103,8 @@
 pub struct TeamRoom {
     /// The team.
     pub team: TeamId,
-    /// Tokens to begin with.
+    /// Tokens.
     pub tokens: u64,
-    /// The gateway's part in the team's rate, in thousandths.
-    pub share_milli: u64,
     /// Time in ms for which only urgent or small requests get tokens, because few are left.
     pub tight_ms: u64,
 }
--- a/crates/cowslip-entry/src/grant_book.rs
+++ b/crates/cowslip-entry/src/grant_book.rs
@@ -6,7 +6,7 @@
 use cowslip_units::{ClockTime, TeamId};
 use smol_str::SmolStr;
 
-use crate::{GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine, UsageShares, heard_ms};
+use crate::{GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine, heard_ms};
 
 /// Time in ms after which a silent gateway is no longer counted as a member.
 const FORGET_MS: u64 = 20_000;
@@ -20,9 +20,6 @@
 /// Share of the burst in percent that is kept at most.
 const MOST_URGENT_PERCENT: u64 = 80;
 
-/// Thousandths of a whole.
-const MILLI: u64 = 1_000;
-
 /// Part of a team's limit that stays for requests that wait when others ask ahead.
 const AHEAD_RESERVE: u64 = 8;
 
@@ -30,7 +27,6 @@
 struct TeamWindow {
     team: TeamId,
     window: GrantWindow,
-    shares: UsageShares,
 }
 
 /// The windows, and who has reported when.
@@ -86,11 +82,7 @@
             let old = self.teams.iter().position(|team| team.team == rule.name);
             let mut team = match old {
                 Some(at) => self.teams.swap_remove(at),
-                None => TeamWindow {
-                    team: rule.name.clone(),
-                    window: self.first_window(rule, now),
-                    shares: UsageShares::default(),
-                },
+                None => TeamWindow { team: rule.name.clone(), window: self.first_window(rule, now) },
             };
             team.window.set_limit(rule.per_s, rule.burst, now);
             teams.push(team);
@@ -104,20 +96,21 @@
         if self.blind { window.with_blind_start(self.slack) } else { window }
     }
 
-    /// The members that do not report at the moment.
-    fn silent(&self, now: ClockTime) -> Vec<SmolStr> {
+    /// The part of the members that report.
+    fn heard_part(&self, now: ClockTime) -> (u64, u64) {
+        let known = self.members.len().max(1) as u64;
         let heard_ms = heard_ms(self.members.len());
-        let silent = |heard: &Option<ClockTime>| heard.is_none_or(|at| now.since_ms(at) >= heard_ms);
-        self.members.iter().filter(|(_, heard)| silent(heard)).map(|(name, _)| name.clone()).collect()
+        let reports = |heard: &Option<ClockTime>| heard.is_some_and(|at| now.since_ms(at) < heard_ms);
+        let heard = self.members.iter().filter(|(_, heard)| reports(heard)).count() as u64;
+        (heard, known)
     }
 
-    /// What a gateway may spend of each team's limit when it loses the leader.
-    pub fn rooms(&mut self, gateway: &SmolStr, now: ClockTime) -> Vec<TeamRoom> {
-        let members = self.members.len();
+    /// What each gateway may spend of each team's limit when it loses the leader.
+    pub fn rooms(&mut self, now: ClockTime) -> Vec<TeamRoom> {
+        let known = self.members.len().max(1) as u64;
         let room = |team: &mut TeamWindow| TeamRoom {
             team: team.team.clone(),
-            tokens: team.window.room(now) * team.shares.share_milli(gateway, members) / MILLI,
-            share_milli: team.shares.share_milli(gateway, members),
+            tokens: team.window.room(now) / known,
             tight_ms: team.window.wait_ms(urgent_reserve(team.window.burst()), now),
         };
         self.teams.iter_mut().map(room).collect()
@@ -125,32 +118,22 @@
 
     /// Answers a gateway's asks. What is wanted ahead is granted only while plenty is left, so that it is not taken
     /// from requests that wait.
-    pub fn grant(&mut self, gateway: &SmolStr, asks: &[TokenAsk], now: ClockTime) -> Vec<TokenGrantLine> {
-        let silent = self.silent(now);
-        asks.iter().filter_map(|ask| self.grant_one(gateway, ask, &silent, now)).collect()
+    pub fn grant(&mut self, asks: &[TokenAsk], now: ClockTime) -> Vec<TokenGrantLine> {
+        asks.iter().filter_map(|ask| self.grant_one(ask, now)).collect()
     }
 
-    fn grant_one(
-        &mut self,
-        gateway: &SmolStr,
-        ask: &TokenAsk,
-        silent: &[SmolStr],
-        now: ClockTime,
-    ) -> Option<TokenGrantLine> {
-        let members = self.members.len();
+    fn grant_one(&mut self, ask: &TokenAsk, now: ClockTime) -> Option<TokenGrantLine> {
+        let (heard, known) = self.heard_part(now);
         let at = self.teams.binary_search_by(|team| team.team.cmp(&ask.team)).ok()?;
-        let TeamWindow { window, shares, .. } = self.teams.get_mut(at)?;
-        // What silent gateways may be spending is not granted to others.
-        let kept: u64 = silent.iter().map(|name| shares.share_milli(name, members)).sum();
+        let window = &mut self.teams.get_mut(at)?.window;
         window.grant(ask.spent_alone, now);
         window.give_back(ask.returned);
-        let room = window.room(now) * MILLI.saturating_sub(kept) / MILLI;
+        let room = window.room(now) * heard / known;
         let short = ask.short.min(room);
         let ahead = ask.ahead.min((room - short) / AHEAD_RESERVE);
         let missing = ask.short - short;
         let wait_ms = if missing > 0 { window.wait_ms(room + missing, now) } else { 0 };
         window.grant(short + ahead, now);
-        shares.add(gateway, short + ahead + ask.spent_alone, now);
         Some(TokenGrantLine { team: ask.team.clone(), granted: short + ahead, wait_ms })
     }
 }
--- a/crates/cowslip-entry/src/grant_window.rs
+++ b/crates/cowslip-entry/src/grant_window.rs
@@ -14,7 +14,7 @@
 
 /// Share of the rate in percent that is granted while the grants of the last window are unknown; the rest covers
 /// grants that are spent after the leader that made them was lost.
-pub(crate) const UNKNOWN_PERCENT: u64 = 80;
+pub(crate) const UNKNOWN_PERCENT: u64 = 90;
 
 /// Thousandths in a token.
 const MILLI: u64 = 1_000;
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -33,7 +33,6 @@
 mod token_purse;
 mod upstream_book;
 mod upstream_entry;
-mod usage_shares;
 mod wait_limit;
 
 pub use adapter_plan::adapters_of;
@@ -64,5 +63,4 @@
 pub use token_purse::{GRANT_MS, PurseStep, TokenPurse};
 pub use upstream_book::{LAPSE_HOLD_MS, PickScope, UpstreamBook, UpstreamPick, WaitCause};
 pub use upstream_entry::{HeldModel, UpstreamEntry};
-pub use usage_shares::UsageShares;
 pub use wait_limit::WaitLimit;
--- a/crates/cowslip-entry/src/token_purse.rs
+++ b/crates/cowslip-entry/src/token_purse.rs
@@ -65,8 +65,8 @@
     }
 
     /// Sets what may be spent without a leader: the own part of the team's rate, and at first `room` tokens.
-    pub fn set_own_part(&mut self, per_s: u64, share_milli: u64, room: u64, now: ClockTime) {
-        let rate_milli = per_s * share_milli * UNKNOWN_PERCENT / 100;
+    pub fn set_own_part(&mut self, per_s: u64, members: usize, room: u64, now: ClockTime) {
+        let rate_milli = per_s * MILLI * UNKNOWN_PERCENT / 100 / members.max(1) as u64;
         let cap_milli = (room * MILLI).max(rate_milli.saturating_mul(OWN_CAP_S));
         self.own = TokenBucket::new(TokenShare { rate_milli, cap_milli }, now);
         self.own.put_back(TokenCount::new(room), now);
--- a/crates/cowslip-entry/tests/entry/grant_runs.rs
+++ b/crates/cowslip-entry/tests/entry/grant_runs.rs
@@ -121,15 +121,15 @@
                 };
                 gateway.purse.counted(ask.spent_alone);
                 gateway.purse.heard(term);
-                for grant in book.grant(&gateway.name, &[ask], now) {
+                for grant in book.grant(&[ask], now) {
                     gateway.purse.granted(grant.granted, now, now);
                 }
                 gateway.heard_at = Some(now);
-                for room in book.rooms(&gateway.name, now) {
+                for room in book.rooms(now) {
                     let greedy = sabotage == Sabotage::GreedyGateway;
-                    let (share, tokens) =
-                        if greedy { (1_000, 30_000) } else { (room.share_milli, room.tokens) };
-                    gateway.purse.set_own_part(rule.per_s, share, tokens, now);
+                    let parts = if greedy { 1 } else { members };
+                    let tokens = if greedy { room.tokens * members as u64 } else { room.tokens };
+                    gateway.purse.set_own_part(rule.per_s, parts, tokens, now);
                 }
             }
         }
@@ -197,7 +197,7 @@
         let now = at(millis);
         book.heard(&name, now);
         book.configure(std::slice::from_ref(&rule), now);
-        if let Some(room) = book.rooms(&name, now).first() {
+        if let Some(room) = book.rooms(now).first() {
             tight_until = now.plus_ms(room.tight_ms);
         }
         let report = random.random_bool(0.05);
@@ -212,7 +212,7 @@
                     returned: purse.take_returned(),
                     spent_alone: 0,
                 };
-                for grant in book.grant(&name, &[ask], now) {
+                for grant in book.grant(&[ask], now) {
                     purse.granted(grant.granted, now, now);
                 }
                 served = purse.reserve(amount, false, now) == PurseStep::Taken;
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -288,11 +288,12 @@
 }
 
 fn set_own_parts(state: &mut GatewayState, rooms: &[TeamRoom], now: ClockTime) {
+    let members = state.member_count(crate::FALLBACK_MEMBERS);
     let Some(config) = state.view.config().cloned() else { return };
     for room in rooms {
         if let Some(team) = config.team(&room.team) {
             let tokens = state.team_tokens(&team.name, now);
-            tokens.purse.set_own_part(team.per_s, room.share_milli, room.tokens, now);
+            tokens.purse.set_own_part(team.per_s, members, room.tokens, now);
             tokens.tight_until = now.plus_ms(room.tight_ms);
         }
     }
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -96,7 +96,7 @@
             self.addresses.retain(|(name, _)| *name != gateway);
             self.addresses.push((gateway.clone(), address));
         }
-        let grants = self.grants.grant(&gateway, &report.tokens, now);
+        let grants = self.grants.grant(&report.tokens, now);
         let running = self.planner.demand().running_beside(&report.running);
         self.planner.heard(report, now);
         let others = self.addresses.iter().rev().filter(|(name, _)| *name != gateway);
@@ -119,7 +119,7 @@
                 .map(|(name, here)| (name, here.is_some()))
                 .collect(),
             grants,
-            rooms: self.grants.rooms(&gateway, now),
+            rooms: self.grants.rooms(now),
             running,
             arrivals,
             leaving: self.planner.leaving(),
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -248,11 +248,11 @@
     }
     if let Some(version) = outcome.config {
         gateway.metrics.config_version.set(version);
-        let even_milli = 1_000 / state.member_count(crate::FALLBACK_MEMBERS) as u64;
+        let members = state.member_count(crate::FALLBACK_MEMBERS);
         let teams = config.iter().flat_map(|config| config.teams()).filter(|team| team.limited());
         for team in teams {
             // The leader tells more as soon as it has read the new rates.
-            state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, even_milli, 0, now);
+            state.team_tokens(&team.name, now).purse.set_own_part(team.per_s, members, 0, now);
         }
     }
 }
