Store copies never hold older rows; configuration asked for earlier; tokens waited for while no leader answers

Causes: (1) a full read or copy older than what is known put its rows among those that a gateway passes on; a gateway that took such a copy would hold an old configuration under a new version. (2) gateways asked for a new configuration 500 ms before its bound, and one with 1,280 more routes takes a small VM longer than that to read. (3) in a large fleet a leader's answer takes longer than the 450 ms that a request waited for tokens, and it was refused although nobody had refused it. Change: older reads are dropped, the configuration's own bound less 800 ms decides, and requests wait up to 1.5 s for the first answer.

--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -25,6 +25,9 @@
 /// Longest time in ms that a request waits for its team's tokens.
 const TOKEN_WAIT_MS: u64 = 450;
 
+/// Longest time in ms that a request waits for the tokens while no leader answers.
+const LEADER_WAIT_MS: u64 = 1_500;
+
 /// Rank of a route from which its large requests give way to others of the team.
 const BULK_PRIORITY: u8 = 2;
 
@@ -182,7 +185,10 @@
                 break Err(RequestRefusal::new(ErrorKind::RateLimited)
                     .with_retry_after(limit.retry_after_ms(refused_ms, now)));
             }
-            if waited_ms >= TOKEN_WAIT_MS {
+            // A leader that has not answered yet has refused nothing.
+            let answered = heard.is_some_and(|at| at >= begun_at);
+            let most_ms = if answered { TOKEN_WAIT_MS } else { LEADER_WAIT_MS };
+            if waited_ms >= most_ms || now >= limit.give_up_at() {
                 break Err(RequestRefusal::new(ErrorKind::RateLimited)
                     .with_retry_after(limit.retry_after_ms(TOKEN_WAIT_MS, now)));
             }
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -26,6 +26,10 @@
 /// must get nothing more.
 const OWN_CALL_MARGIN_MS: u64 = 500;
 
+/// The same for the time in which a configuration must be in force. It is longer, because a configuration of a thousand
+/// routes takes a small VM some time to read.
+const CONFIG_MARGIN_MS: u64 = 800;
+
 /// Time in ms for which a gateway without a leader collects changes of upstreams.
 const COLLECT_MS: u64 = 700;
 
@@ -86,9 +90,9 @@
     let now = gateway.now();
     let state = gateway.lock();
     let leads = state.lead.is_some();
-    let own_call_ms = gateway.settings.drain_ms.saturating_sub(OWN_CALL_MARGIN_MS);
     match table {
         FollowedTable::Operators => {
+            let own_call_ms = gateway.settings.config_ms.saturating_sub(CONFIG_MARGIN_MS);
             let fresh = state.view.age_ms(now).is_some_and(|age| age < own_call_ms);
             if !leads && fresh && !state.behind {
                 return FollowStep::Rest;
@@ -100,6 +104,7 @@
             FollowStep::Follow(state.view.version(), wait_ms)
         }
         FollowedTable::Upstreams => {
+            let own_call_ms = gateway.settings.drain_ms.saturating_sub(OWN_CALL_MARGIN_MS);
             let informed = state.upstreams_at.is_some_and(|at| now.since_ms(at) < own_call_ms);
             if !leads && informed {
                 return FollowStep::Rest;
@@ -212,9 +217,12 @@
     }
     let now = gateway.now();
     let mut state = gateway.lock();
-    let before = state.view.version();
     let version = rows.version;
-    keep_rows(&mut state.operator_rows, rows.rows, full && version >= before);
+    if version < state.view.version() {
+        // An older read would put old rows among the newer ones that are kept for other gateways.
+        return;
+    }
+    keep_rows(&mut state.operator_rows, rows.rows, full);
     let outcome = if full {
         state.view.replace(changes, version, sent_at)
     } else {
