Changes of upstreams are collected by the fleet's size

Ruled out: a slow machine (the pause alone is longer than the test waits). Change: 8 ms a member, 700 ms at most. The test is unchanged.

--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -30,7 +30,10 @@
 /// routes takes a small VM some time to read.
 const CONFIG_MARGIN_MS: u64 = 800;
 
-/// Time in ms for which a gateway without a leader collects changes of upstreams.
+/// Time in ms for which a gateway without a leader collects changes of upstreams, for each member of the fleet and at
+/// most.
+const COLLECT_MS_PER_MEMBER: u64 = 8;
+/// Longest such time in ms.
 const COLLECT_MS: u64 = 700;
 
 /// Longest pause in ms between two looks whether the store must be asked.
@@ -70,9 +73,12 @@
 /// A gateway that does not lead collects changes of upstreams for a while: in a large fleet each change would otherwise
 /// answer a call of every gateway without a leader.
 async fn rest_between(gateway: &Gateway, table: FollowedTable) {
-    let leads = gateway.lock().lead.is_some();
+    let (leads, members) = {
+        let state = gateway.lock();
+        (state.lead.is_some(), state.members.len() as u64)
+    };
     if table == FollowedTable::Upstreams && !leads {
-        gateway.clock.sleep_ms(COLLECT_MS).await;
+        gateway.clock.sleep_ms((members * COLLECT_MS_PER_MEMBER).min(COLLECT_MS)).await;
     }
 }
 
