--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod known_upstream;
 mod load_budget;
 mod load_planner;
+mod model_answer;
 mod model_demand;
 mod news_log;
 mod operator_view;
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -7,11 +7,11 @@
 
 use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
 
-use crate::planned_engine::{EngineTask, MAX_CONFLICTS, TaskStage, load_ms};
+use crate::model_answer::{DOUBT_MS, model_answered, task_left_ms};
+use crate::planned_engine::{EngineTask, TaskStage, load_ms};
 use crate::{
-    ArrivalLine, DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, HeldModel,
-    LoadBudget, ModelDemand, OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry,
-    WeightTier,
+    ArrivalLine, DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, LoadBudget,
+    ModelDemand, OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry, WeightTier,
 };
 
 /// Calls of a busy model that one engine should run.
@@ -26,21 +26,12 @@
 /// Time in ms that waiting for the calls of a victim is reckoned to take.
 const RUNNING_MS: f64 = 1_500.0;
 
-/// First and longest pause in ms before an order is repeated after a conflict.
-const CONFLICT_MS: (u64, u64) = (25, 300);
-
-/// Pause in ms between an unload and the load that takes its place.
-const AFTER_UNLOAD_MS: u64 = 3;
-
 /// Advantage in ms of a busy engine with a nearer copy from which it is waited for.
 const BUSY_MARGIN_MS: f64 = 500.0;
 
 /// Time in ms after the expected end of a load at which the engine is asked.
 const LATE_MS: u64 = 250;
 
-/// Time in ms before an order in doubt is repeated.
-const DOUBT_MS: u64 = 250;
-
 /// Pause in ms between two looks for models that no engine has a copy of.
 const FETCH_PAUSE_MS: u64 = 200;
 
@@ -468,74 +459,3 @@
         self.engines.iter().flat_map(of_engine).collect()
     }
 }
-
-/// Time in ms until a change under way is over.
-fn task_left_ms(task: &EngineTask, rule: &EngineRule, now: ClockTime) -> f64 {
-    let whole = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
-    match task.stage {
-        TaskStage::Loading(until) => until.since_ms(now) as f64,
-        TaskStage::Send(_) | TaskStage::Sent(_) => whole as f64,
-    }
-}
-
-fn model_answered(
-    engine: &mut PlannedEngine,
-    order: &EngineOrder,
-    answer: OrderAnswer,
-    rule: &EngineRule,
-    now: ClockTime,
-) {
-    let Some(task) = engine.task.as_mut() else { return };
-    if !matches!(&task.stage, TaskStage::Sent(action) if *action == order.action) {
-        return;
-    }
-    match answer {
-        OrderAnswer::Started | OrderAnswer::Holds => {
-            if answer == OrderAnswer::Started {
-                engine.orders = order.expected_orders + 1;
-            }
-            task.conflicts = 0;
-            match &order.action {
-                EngineAction::Unload(model) => {
-                    engine.entry.models.retain(|held| held.name != *model);
-                    engine.pending.retain(|(of, ..)| of != model);
-                    task.stage = TaskStage::Send(now.plus_ms(AFTER_UNLOAD_MS));
-                }
-                _ if answer == OrderAnswer::Holds => {
-                    // An order in doubt was carried out: the model takes its place, whatever was known before.
-                    let name = task.model.clone();
-                    engine.task = None;
-                    if !engine.entry.holds(&name) {
-                        engine.entry.models.push(HeldModel { name, adapters: Vec::new() });
-                    }
-                    engine.ask_at = Some(now);
-                }
-                _ => {
-                    let time = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
-                    task.stage = TaskStage::Loading(now.plus_ms(time));
-                }
-            }
-        }
-        OrderAnswer::Conflict => {
-            task.conflicts += 1;
-            let pause = (CONFLICT_MS.0 << task.conflicts.min(5)).min(CONFLICT_MS.1);
-            task.stage = TaskStage::Send(now.plus_ms(pause));
-            if task.conflicts % 3 == 0 {
-                engine.ask_at = Some(now);
-            }
-            if task.conflicts > 4 * MAX_CONFLICTS {
-                engine.task = None;
-            }
-        }
-        OrderAnswer::NotSent => task.stage = TaskStage::Send(now.plus_ms(DOUBT_MS)),
-        OrderAnswer::InDoubt => {
-            // The same order under the same count again: one of the two takes effect at most.
-            task.stage = TaskStage::Send(now.plus_ms(DOUBT_MS));
-            engine.ask_at = Some(now);
-        }
-        OrderAnswer::Refused => {
-            engine.task = None;
-            engine.ask_at = Some(now);
-        }
-    }
-}
--- a/crates/cowslip-entry/src/request_need.rs
+++ b/crates/cowslip-entry/src/request_need.rs
@@ -23,6 +23,4 @@
     pub affinity: u64,
     /// Regions that the request may go to; empty for all.
     pub regions: Vec<SmolStr>,
-    /// Prompt and output tokens that it may take.
-    pub tokens: u64,
 }
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -4,7 +4,7 @@
 //! by a hash of the request's session and the upstream, so that they do not all follow one stale figure, and requests
 //! of one session meet at the engine that has their prompt cached.
 
-use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
+use cowslip_units::{ClockTime, DomainId, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
 use crate::{
@@ -182,11 +182,6 @@
         }
     }
 
-    /// True when some usable upstream of the service exists.
-    pub fn serves(&self, service: &ServiceId) -> bool {
-        self.upstreams.iter().any(|known| known.entry.service == *service && !known.entry.draining)
-    }
-
     /// Chooses an upstream for a request.
     pub fn pick(&self, need: &RequestNeed, scope: &PickScope<'_>, now: ClockTime) -> UpstreamPick {
         let mut cause = WaitCause::NoUpstream;
--- a/crates/cowslip-entry/tests/entry/book_cases.rs
+++ b/crates/cowslip-entry/tests/entry/book_cases.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-use crate::names::{at, domain, engine_rule, entry, model, need, service, service_id, upstream};
+use crate::names::{at, domain, engine_rule, entry, model, need, service, upstream};
 
 const COLD: ColdLimit = ColdLimit { overrun: 1.5, tolerance: 5.0 };
 
@@ -192,5 +192,4 @@
     let rules = vec![scene.service.clone()];
     scene.book.mark_cold(&domain("d1"), &rules, at(100));
     assert!(scene.book.get(&upstream("e1")).expect("known").is_cold(at(3_099)));
-    assert!(scene.book.serves(&service_id("s")));
 }
--- a/crates/cowslip-entry/tests/entry/names.rs
+++ b/crates/cowslip-entry/tests/entry/names.rs
@@ -96,6 +96,5 @@
         model: name.map(|name| ModelNeed { model: model(name), adapter: None }),
         affinity: 7,
         regions: Vec::new(),
-        tokens: 100,
     }
 }
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -185,7 +185,6 @@
         model: context.caller.model.clone().filter(|_| is_engine),
         affinity,
         regions: admitted.route.regions.clone(),
-        tokens: context.caller.tokens.unwrap_or_default(),
     }
 }
 
