A leader plans for a seventh of its time at most, and gateways find a new leader within a second

Ruled out: the store (its calls failed after the stall, not before). Change: whoever does not lead is not believed about the leader, other gateways are asked every 150 ms; a plan is followed by a pause of six times its length; the lease is valid for 3 s, the product's own value.

--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -24,8 +24,9 @@
 use crate::leader_state::LeaderState;
 use crate::upstream_pool::SendFault;
 
-/// Times of the lease: valid for 2 s, renewed every 0.6 s. A leader on a small VM may be busy for a second.
-const LEASE_TIMES: LeaseTimes = LeaseTimes::new(2_000, 600, 150);
+/// Times of the lease: valid for 3 s, renewed every 0.7 s. A new leader of a large fleet on a small VM may be busy for two
+/// seconds.
+const LEASE_TIMES: LeaseTimes = LeaseTimes::new(3_000, 700, 150);
 
 /// Longest sleep in ms between two looks at the lease.
 const LOOK_MS: u64 = 100;
@@ -38,7 +39,7 @@
 const RANK_MS: u64 = 150;
 
 /// Longest such time in ms.
-const MAX_RANK_MS: u64 = 3_000;
+const MAX_RANK_MS: u64 = 1_500;
 
 /// Time in ms that a VM with little processor time or a narrow link leaves to the others.
 const WEAK_MS: u64 = 500;
@@ -53,7 +54,11 @@
 const PLAN_MS: u64 = 60;
 
 /// Shortest pause in ms between two plans.
-const LEAST_PLAN_MS: u64 = 5;
+const LEAST_PLAN_MS: u64 = 10;
+
+/// The pause is at least so many times as long as the plan took. A leader that planned with every report of 85 gateways
+/// had no time left to renew its lease.
+const PLAN_REST_FACTOR: u64 = 6;
 
 /// Time in ms for an engine to answer an order or a question.
 const ENGINE_MS: u64 = 700;
@@ -155,6 +160,7 @@
         (None, Some(lead)) => {
             let fence = lead.fence;
             state.lead = None;
+            state.leader = None;
             drop(state);
             gateway.metrics.lease_changes.inc();
             warn!(gateway.logger, "lead_ended"; "fence" => fence.get());
@@ -176,13 +182,16 @@
 /// Plans and sends orders while this gateway leads.
 pub(crate) async fn plan_loop(gateway: Arc<Gateway>) {
     loop {
+        let begun_at = gateway.now();
         let steps = plan(&gateway);
+        let took_ms = gateway.now().since_ms(begun_at);
         for (step, fence) in steps {
             tokio::spawn(carry_out(Arc::clone(&gateway), step, fence));
         }
         let woken = timeout(Duration::from_millis(PLAN_MS), gateway.lead_now.notified()).await;
-        if woken.is_ok() {
-            gateway.clock.sleep_ms(LEAST_PLAN_MS).await;
+        let rest_ms = LEAST_PLAN_MS.max(took_ms * PLAN_REST_FACTOR);
+        if woken.is_ok() || rest_ms > PLAN_MS {
+            gateway.clock.sleep_ms(rest_ms).await;
         }
     }
 }
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cowslip_entry::{
-    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, report_pause_ms,
+    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, heard_ms, report_pause_ms,
 };
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
 use cowslip_units::{ClockTime, TeamId};
@@ -28,6 +28,9 @@
 /// Pause in ms between reports while requests wait for loads, which take a second and more.
 const LOAD_WAIT_MS: u64 = 120;
 
+/// Pause in ms between reports while no leader answers.
+const SEARCH_MS: u64 = 150;
+
 /// Shortest pause in ms between two reports.
 const LEAST_MS: u64 = 4;
 
@@ -149,8 +152,9 @@
         } else {
             None
         };
-        if answer.is_none() && !leads {
-            learn_from_peer(&gateway, &mut clients, &mut next_peer).await;
+        if !leads && !answer.as_ref().is_some_and(|(answer, _)| answer.leads) {
+            // A leader that lost its lease may still answer, and does not know who came after it.
+            learn_from_peer(&gateway, &mut clients, &mut next_peer, leader).await;
         }
         let led = answer.as_ref().is_some_and(|(answer, _)| answer.leads);
         if led != heard {
@@ -170,16 +174,22 @@
 }
 
 /// Asks another gateway who leads, so that not every gateway reads the lease row when the leader is lost.
-async fn learn_from_peer(gateway: &Arc<Gateway>, clients: &mut PeerClients, next_peer: &mut usize) {
-    let peers = gateway.lock().peers.clone();
+async fn learn_from_peer(
+    gateway: &Arc<Gateway>,
+    clients: &mut PeerClients,
+    next_peer: &mut usize,
+    lost: Option<SocketAddr>,
+) {
+    let mut peers = gateway.lock().peers.clone();
+    peers.retain(|peer| Some(*peer) != lost);
     let Some(peer) = peers.get(*next_peer % peers.len().max(1)).copied() else { return };
     *next_peer += 1;
     let Some(client) = clients.get(gateway, peer) else { return };
     // An empty report tells nothing and asks for nothing.
     match client.gateway_report(GatewayReport::default()).await {
         Ok(answer) => {
-            if let Some(leader) = answer.leader {
-                gateway.lock().leader = Some(leader);
+            if answer.leader.is_some() && answer.leader != lost {
+                gateway.lock().leader = answer.leader;
             }
         }
         Err(_) => clients.forget(peer),
@@ -228,9 +238,6 @@
         }
     }
     if !answer.leads {
-        if answer.leader.is_some() {
-            state.leader = answer.leader;
-        }
         return;
     }
     state.leader_heard_at = Some(sent_at);
@@ -330,7 +337,8 @@
     let pause_ms = {
         let state = gateway.lock();
         let members = state.members.len();
-        let usual_ms = report_pause_ms(members);
+        let led = state.leader_heard_at.is_some_and(|at| gateway.now().since_ms(at) < heard_ms(members));
+        let usual_ms = if led { report_pause_ms(members) } else { SEARCH_MS };
         let urgent_ms = URGENT_MS.max(members as u64 * URGENT_MS_PER_MEMBER);
         if state.waits_briefly() {
             urgent_ms.min(usual_ms)
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -11,7 +11,7 @@
 
 /// Gateways that are told everything between two plans at most. A new leader that told all of a large fleet at once was
 /// busy for longer than its lease.
-const WHOLE_ANSWERS: u32 = 4;
+const WHOLE_ANSWERS: u32 = 2;
 
 /// Addresses told with an answer at most.
 const MAX_PEERS: usize = 8;
