planner: nothing is sent to an engine between a busy status and the next

A late order of an earlier leader was being carried out; the busy status told its count but not its model, the count was taken, and once the engine was idle a load went out under it with the model still missing from the plan. Change: a busy status is followed by another before anything is sent. planner_cases: nothing_is_sent_between_a_busy_status_and_the_next fails without the change.

--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -394,7 +394,7 @@
             let used_mb = engine.used_mb(rule);
             let Some(task) = engine.task.as_mut() else { continue };
             let TaskStage::Send(at) = task.stage else { continue };
-            if now < at || engine.asking || engine.adapter_sent.is_some() {
+            if now < at || engine.asking || engine.ask_at.is_some() || engine.adapter_sent.is_some() {
                 continue;
             }
             let held = |model: &&ModelId| engine.entry.models.iter().any(|held| held.name == **model);
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -132,11 +132,10 @@
         self.finish_load(now);
         self.pending = status.pending.into_iter().map(|(model, name)| (model, name, now)).collect();
         if status.busy {
-            if self.task.is_none()
-                || matches!(self.task, Some(EngineTask { stage: TaskStage::Loading(_), .. }))
-            {
-                self.ask_at = Some(now.plus_ms(BUSY_RETRY_MS));
-            }
+            // What is carried out may be an order of an earlier leader, and is not listed yet: nothing is sent before a
+            // status that lists it.
+            let waits = matches!(self.task, Some(EngineTask { stage: TaskStage::Send(_), .. }));
+            self.ask_at = Some(now.plus_ms(if waits { STATUS_RETRY_MS } else { BUSY_RETRY_MS }));
             return;
         }
         match self.task.as_mut() {
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -134,6 +134,39 @@
     assert_eq!(again, vec![first]);
 }
 
+/// Guards against a load under the count that a busy engine told, before its models are known anew: a late order of an
+/// earlier leader was being carried out (hunted day orders-late 627616651855: LIMIT).
+#[test]
+fn nothing_is_sent_between_a_busy_status_and_the_next() {
+    let mut desk = Desk::new(vec![engine("e1", &["a"])]);
+    desk.orders(0);
+    desk.wait_for("c", 1, 100);
+    let load = desk.orders(100).remove(0);
+    assert_eq!(load.action, EngineAction::Load(model("c")));
+    for (answered, sent) in [(110, 400), (410, 800), (810, 1_200)] {
+        desk.answer(&load, OrderAnswer::Conflict, answered);
+        if answered < 810 {
+            assert_eq!(desk.orders(sent).len(), 1);
+        }
+    }
+    let status = |models: &[&str], busy: bool| EngineStatus {
+        models: held(models),
+        pending: Vec::new(),
+        busy,
+        orders: 1,
+        born: 1,
+    };
+    desk.planner.status(&upstream("e1"), Some(status(&["a"], true)), at(1_210));
+    desk.planner.sync(desk.entries.iter(), &[], at(1_300));
+    assert!(desk.planner.step(&desk.services, at(1_300)).is_empty());
+    desk.planner.status(&upstream("e1"), Some(status(&["a", "b"], false)), at(1_500));
+    desk.wait_for("c", 1, 1_600);
+    let steps = desk.planner.step(&desk.services, at(1_600));
+    let loads =
+        |step: &PlanStep| matches!(step, PlanStep::Order(EngineOrder { action: EngineAction::Load(_), .. }));
+    assert!(!steps.iter().any(loads), "{steps:?}");
+}
+
 /// Guards against orders that take turns with those of an earlier leader.
 #[test]
 fn a_new_leader_waits_before_its_first_order() {
