leader news: dated by what was noted, and older knowledge undoes nothing

Cause: a leader notes what it tells of upstreams with each plan, but dated its answers by what it had read itself, so that gateways believed to know of changes that they had not been told; a new leader that had not planned yet told its first two reporters that there are no upstreams at all. A gateway that had read more itself was set back by a new leader's older entries and kept the newer date. Ruled out: the own call's margin alone: the request was sent 2.58 s after the acknowledgement, later than the 2.5 s at which a gateway without news asks the store itself. Change: LeaderNews holds what was noted with its store version and date; entries carry their row's version, and neither news nor copies of an older version undo a later entry, a removal or a leaving. A gateway that was told follows the feed from the told version instead of reading the whole table. Before: older_news_undo_nothing::leaves fails without the version check.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -17,6 +17,8 @@
     pub changed: u64,
     /// Age in ms of the store call that proved it; `None` when it is not proven.
     pub age_ms: Option<u64>,
+    /// Store version up to which the upstreams' table is known.
+    pub upstream_version: u64,
     /// Age in ms of the store call that proved the upstreams' table; `None` when it is not proven.
     pub upstream_age_ms: Option<u64>,
 }
--- a/crates/cowslip-entry/src/known_upstream.rs
+++ b/crates/cowslip-entry/src/known_upstream.rs
@@ -27,6 +27,8 @@
 pub struct KnownUpstream {
     /// What it tells of itself.
     pub entry: UpstreamEntry,
+    /// Newest store version at which its entry was seen, be it the same as before.
+    pub seen_version: u64,
     /// Hash of its id.
     pub hash: u64,
     /// Until when it is cold.
@@ -60,6 +62,7 @@
         let cold_until = now.plus_ms(entry.cold_left_ms);
         Self {
             hash: text_hash(entry.id.as_str()),
+            seen_version: entry.version,
             entry,
             cold_until,
             removed_at: None,
@@ -77,8 +80,13 @@
         }
     }
 
-    /// Takes a newer entry. A new start forgets what was known of the old one.
-    pub fn update(&mut self, entry: UpstreamEntry, now: ClockTime) {
+    /// Takes a newer entry. A new start forgets what was known of the old one. An older entry, which another gateway
+    /// may still have, changes nothing: it would take back that the upstream leaves.
+    pub fn update(&mut self, mut entry: UpstreamEntry, now: ClockTime) {
+        if entry.version < self.seen_version {
+            return;
+        }
+        self.seen_version = entry.version;
         if entry.born != self.entry.born || entry.address != self.entry.address {
             let running = self.running;
             *self = Self::new(entry, now);
@@ -92,7 +100,11 @@
         if entry.models != self.entry.models {
             self.missing.clear();
         }
-        self.entry = entry;
+        // An entry that says the same keeps its version, so that a heartbeat is no news to other gateways.
+        let version = std::mem::replace(&mut entry.version, self.entry.version);
+        if entry != self.entry {
+            self.entry = UpstreamEntry { version, ..entry };
+        }
     }
 
     /// Calls of the whole fleet.
--- /dev/null
+++ b/crates/cowslip-entry/src/leader_news.rs
@@ -0,0 +1,106 @@
+//! What a leader tells the other gateways of upstreams, adapters and members.
+//!
+//! News are noted with each plan, and answers between two plans tell what was noted. The age that an answer gives is
+//! that of the noted knowledge, not of what the leader has learnt since: a gateway that took the later date would believe
+//! that it knows of changes that it was not told.
+
+use cowslip_units::{ClockTime, UpstreamId};
+use smol_str::SmolStr;
+
+use crate::{
+    AdapterName, NewsLog, NewsMarks, PlannedEngine, UpstreamBook, UpstreamEntry, ViewStamp, adapters_of,
+};
+
+/// Gateways that are told everything between two plans at most. A new leader that told all of a large fleet at once was
+/// busy for longer than its lease.
+const WHOLE_ANSWERS: u32 = 2;
+
+/// The part of an answer that tells news.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ToldNews {
+    /// True when the news are left for a later answer.
+    pub deferred: bool,
+    /// True when the news are everything that there is.
+    pub fresh: bool,
+    /// Up to where the news go.
+    pub marks: NewsMarks,
+    /// Upstreams that came, changed or went.
+    pub upstreams: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    /// Adapters of upstreams where they changed.
+    pub adapters: Vec<(UpstreamId, Option<Vec<AdapterName>>)>,
+    /// Gateways that came (true) or went.
+    pub members: Vec<(SmolStr, bool)>,
+}
+
+/// The news of one leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LeaderNews {
+    upstreams: NewsLog<UpstreamId, UpstreamEntry>,
+    adapters: NewsLog<UpstreamId, Vec<AdapterName>>,
+    members: NewsLog<SmolStr, ()>,
+    /// Gateways that may still be told everything before the next plan.
+    whole_left: u32,
+    /// Store version of the noted upstreams.
+    version: u64,
+    /// When the noted upstreams were proven.
+    proven_at: Option<ClockTime>,
+}
+
+impl LeaderNews {
+    /// A leader that has noted nothing, and defers what it tells.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes what is known of upstreams, adapters and members.
+    pub fn note(
+        &mut self,
+        members: Vec<SmolStr>,
+        book: &UpstreamBook,
+        engines: &[PlannedEngine],
+        now: ClockTime,
+    ) {
+        self.whole_left = WHOLE_ANSWERS;
+        self.members.sync(members.into_iter().map(|name| (name, ())));
+        let entries = book.all().iter().map(|known| (known.entry.id.clone(), known.entry.without_copies()));
+        self.upstreams.sync(entries);
+        self.adapters.sync(engines.iter().map(|engine| (engine.entry.id.clone(), adapters_of(engine, now))));
+    }
+
+    /// Notes of what store version the upstreams are known, and when that was proven.
+    pub fn note_proof(&mut self, version: u64, proven_at: Option<ClockTime>) {
+        self.version = version;
+        self.proven_at = proven_at;
+    }
+
+    /// What a gateway is told that knows this leader's news up to `marks`, or no news of it.
+    pub fn tell(&mut self, knows: bool, marks: NewsMarks) -> ToldNews {
+        let newest = NewsMarks {
+            upstreams: self.upstreams.mark(),
+            adapters: self.adapters.mark(),
+            members: self.members.mark(),
+        };
+        if !knows && self.whole_left == 0 {
+            return ToldNews { deferred: true, marks: newest, ..ToldNews::default() };
+        }
+        if !knows {
+            self.whole_left -= 1;
+        }
+        let marks = if knows { marks } else { NewsMarks::default() };
+        let members = self.members.since(marks.members).into_iter();
+        ToldNews {
+            deferred: false,
+            fresh: !knows,
+            marks: newest,
+            upstreams: self.upstreams.since(marks.upstreams),
+            adapters: self.adapters.since(marks.adapters),
+            members: members.map(|(name, here)| (name, here.is_some())).collect(),
+        }
+    }
+
+    /// The leader's stamp with the version and the age of what was noted of upstreams.
+    pub fn stamp(&self, view: ViewStamp, now: ClockTime) -> ViewStamp {
+        let upstream_age_ms = self.proven_at.map(|at| now.since_ms(at));
+        ViewStamp { upstream_version: self.version, upstream_age_ms, ..view }
+    }
+}
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -83,6 +83,17 @@
     pub cold: ColdLimit,
 }
 
+/// What another gateway tells of upstreams.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UpstreamNews {
+    /// Upstreams that came, changed or went.
+    pub entries: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    /// Store version of the telling gateway's knowledge.
+    pub version: u64,
+    /// True when the entries are all that there are.
+    pub fresh: bool,
+}
+
 /// All known upstreams, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamBook {
@@ -143,6 +154,27 @@
         }
     }
 
+    /// Takes another gateway's word on upstreams. What is known here from a later store version stays; `own_version` is
+    /// the one up to which this book knows all upstreams.
+    pub fn take_news(&mut self, news: UpstreamNews, own_version: u64, now: ClockTime) {
+        let UpstreamNews { entries, version, fresh } = news;
+        let newer = |known: &KnownUpstream| known.seen_version > version;
+        if fresh {
+            let named = |known: &KnownUpstream| entries.iter().any(|(id, _)| *id == known.entry.id);
+            self.upstreams.retain(|known| newer(known) || named(known));
+        }
+        for (id, entry) in entries {
+            match entry {
+                // One that is not in a book of a later version has been removed.
+                Some(_) if version < own_version && self.get(&id).is_none() => {}
+                Some(entry) => {
+                    self.put(entry, now);
+                }
+                None => self.upstreams.retain(|known| known.entry.id != id || newer(known)),
+            }
+        }
+    }
+
     /// Forgets entries whose hold is over. While the store is still in trouble the hold goes on.
     pub fn expire(&mut self, trouble_until: Option<ClockTime>, now: ClockTime) -> Vec<UpstreamId> {
         let over = |known: &KnownUpstream| {
--- a/crates/cowslip-entry/src/upstream_entry.rs
+++ b/crates/cowslip-entry/src/upstream_entry.rs
@@ -40,6 +40,8 @@
     /// Models whose weights lie on its disk.
     #[serde(skip)]
     pub on_disk: Vec<ModelId>,
+    /// Store version of the row that brought this content.
+    pub version: u64,
     /// Unix time in ms of its start; tells two starts under one id apart.
     pub born: u64,
 }
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod grant_runs;
 mod limit_runs;
 mod names;
+mod news_cases;
 mod planner_cases;
 mod planner_runs;
 mod view_cases;
--- a/crates/cowslip-entry/tests/entry/names.rs
+++ b/crates/cowslip-entry/tests/entry/names.rs
@@ -38,6 +38,7 @@
         models: held(models),
         in_memory: Vec::new(),
         on_disk: models.iter().map(|name| model(name)).collect(),
+        version: 1,
         born: 1,
     }
 }
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -228,6 +228,7 @@
             version: self.view.version(),
             changed: self.view.changed(),
             age_ms: self.view.age_ms(now),
+            upstream_version: self.upstream_version,
             upstream_age_ms: self.upstreams_at.map(|at| now.since_ms(at)),
         }
     }
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -203,18 +203,20 @@
     let (Some(lead), Some(config)) = (state.lead.as_mut(), state.view.config().cloned()) else {
         return Vec::new();
     };
+    let fence = lead.fence;
+    let proven = state.upstreams_known.then_some((state.upstream_version, state.upstreams_at));
     if !state.upstreams_full {
-        // The weights' places are read from the store first.
+        // The weights' places are read from the store first. The others are told meanwhile what is known.
+        lead.note(&state.book, proven, now);
         return Vec::new();
     }
-    let fence = lead.fence;
     let is_engine = |entry: &&UpstreamEntry| {
         config.service(&entry.service).is_some_and(|service| service.engine.is_some())
     };
     let entries = state.book.all().iter().map(|known| &known.entry).filter(is_engine);
     lead.planner.sync(entries, &state.evacuated, now);
     let steps = lead.planner.step(config.services(), now);
-    lead.note(&state.book, now);
+    lead.note(&state.book, proven, now);
     steps.into_iter().map(|step| (step, fence)).collect()
 }
 
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -246,9 +246,7 @@
     state.peers = answer.peers;
     take_members(&mut state, answer.members, answer.fresh);
     if state.lead.is_none() && !answer.deferred {
-        take_news(gateway, &mut state, answer.upstreams, answer.fresh);
-        let proven_at = answer.view.upstream_age_ms.map(|age_ms| sent_at.minus_ms(age_ms));
-        state.upstreams_at = state.upstreams_at.max(proven_at);
+        take_news(&mut state, answer.upstreams, answer.fresh, &answer.view, sent_at, now);
     }
     for (id, names) in answer.adapters {
         state.book.told_adapters(&id, names.unwrap_or_default());
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -6,7 +6,9 @@
 use cowslip_adapter::{
     FeedOutcome, OPERATOR_TABLE, StoreRow, StoreRows, UPSTREAM_TABLE, operator_change, upstream_entry,
 };
-use cowslip_entry::{CopiedRow, KnownUpstream, OperatorChange, UpstreamEntry, ViewCopy, ViewOutcome};
+use cowslip_entry::{
+    CopiedRow, OperatorChange, UpstreamEntry, UpstreamNews, ViewCopy, ViewOutcome, ViewStamp,
+};
 use cowslip_platform::PlatformError;
 use cowslip_units::{ClockTime, UpstreamId};
 use slog::{info, warn};
@@ -115,7 +117,8 @@
             if !leads && informed {
                 return FollowStep::Rest;
             }
-            if history_lost || !state.upstreams_full {
+            // The leader needs the weights' places, which gateways do not tell each other.
+            if history_lost || state.upstream_version == 0 || (leads && !state.upstreams_full) {
                 return FollowStep::ReadAll;
             }
             FollowStep::Follow(state.upstream_version, table.wait_ms())
@@ -386,34 +389,26 @@
     let upstreams = copy.upstreams.into_iter().map(|entry| (entry.id.clone(), Some(entry))).collect();
     let mut state = gateway.lock();
     if state.lead.is_none() {
-        take_news(gateway, &mut state, upstreams, true);
+        take_news(&mut state, upstreams, true, &copy.view, asked_at, gateway.now());
     }
 }
 
-/// Takes another gateway's word on upstreams; with `fresh`, those not named are gone.
+/// Takes another gateway's word on upstreams, which it gave with `stamp` when it was asked at `asked_at`; with `fresh`,
+/// those not named are gone.
 pub(crate) fn take_news(
-    gateway: &Gateway,
     state: &mut GatewayState,
     news: Vec<(UpstreamId, Option<UpstreamEntry>)>,
     fresh: bool,
+    stamp: &ViewStamp,
+    asked_at: ClockTime,
+    now: ClockTime,
 ) {
-    let now = gateway.now();
-    if fresh {
-        let named = |known: &KnownUpstream| news.iter().any(|(id, _)| *id == known.entry.id);
-        let gone = state.book.all().iter().filter(|known| !named(known));
-        let gone: Vec<UpstreamId> = gone.map(|known| known.entry.id.clone()).collect();
-        for id in gone {
-            state.book.remove(&id, false, now);
-        }
-    }
+    let own_version = state.upstream_version;
+    let news = UpstreamNews { entries: news, version: stamp.upstream_version, fresh };
+    state.book.take_news(news, own_version, now);
     state.upstreams_full = false;
     state.upstreams_known = true;
-    for (id, entry) in news {
-        match entry {
-            Some(entry) => {
-                state.book.put(entry, now);
-            }
-            None => state.book.remove(&id, false, now),
-        }
-    }
+    state.upstream_version = state.upstream_version.max(stamp.upstream_version);
+    let proven_at = stamp.upstream_age_ms.map(|age_ms| asked_at.minus_ms(age_ms));
+    state.upstreams_at = state.upstreams_at.max(proven_at);
 }
