--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -155,6 +155,12 @@
         Some(transaction.with_absent(&epoch_key(epoch.next())))
     }
 
+    /// When this candidate may take the row over that it last read, if it does not change until then.
+    pub fn takeover_at(&self) -> Option<ClockTime> {
+        let seen = self.seen.as_ref().filter(|_| self.role == LeaseRole::Candidate)?;
+        Some(if seen.row.holder.is_none() { seen.since } else { seen.since.plus_ms(self.times.takeover_ms) })
+    }
+
     /// Gives the lease up for a planned stop: this process does not act from now on.
     pub fn release(&mut self, now: ClockTime) {
         if self.role == LeaseRole::Holder || self.sent.is_some() {
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -12,7 +12,7 @@
     rank_of,
 };
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
-use cowslip_platform::TableService;
+use cowslip_platform::{RowValue, TableService};
 use cowslip_units::{ClockTime, FenceNumber, UpstreamId};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
@@ -121,6 +121,7 @@
                 let result = gateway.store.read(LEASE_KEY).await;
                 count_store(&gateway, "lease_read", result.is_err());
                 lease.read_answered(&result, gateway.now());
+                log_lease(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
             }
             LeaseStep::Commit(transaction) => {
                 let result = gateway.store.commit(&transaction).await;
@@ -132,6 +133,14 @@
     }
 }
 
+fn log_lease(gateway: &Gateway, lease: &LeaderLease, row: Option<&RowValue>) {
+    let now = gateway.now();
+    let told = gateway.lock().lease_told.map(|(version, _)| version);
+    info!(gateway.logger, "lease_read"; "version" => row.map(|row| row.version), "told" => told,
+        "holder" => lease.holder().map(|holder| holder.vm.to_string()),
+        "takeover_in_ms" => lease.takeover_at().map(|at| at.since_ms(now)));
+}
+
 fn count_store(gateway: &Gateway, kind: &'static str, failed: bool) {
     let outcome = if failed { "failed" } else { "ok" };
     gateway.metrics.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
