--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -263,7 +263,9 @@
     }
     state.leader_heard_at = Some(sent_at);
     // The answer may have been on its way for any part of the call, so the renewal is dated by its arrival.
-    state.lease_told = answer.lease.map(|lease| (lease.version, now.minus_ms(lease.age_ms)));
+    // A leader whose lease has just run out tells nothing of it; what it told before holds.
+    let told = answer.lease.map(|lease| (lease.version, now.minus_ms(lease.age_ms)));
+    state.lease_told = told.or(state.lease_told);
     state.peers = answer.peers;
     take_members(&mut state, answer.members, answer.fresh);
     state.fleet = Some(answer.fleet as usize);
