--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cowslip_units::{ModelId, TeamId, UpstreamId};
+use cowslip_units::{ClockTime, ModelId, TeamId, UpstreamId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -23,6 +23,17 @@
     pub upstream_age_ms: Option<u64>,
 }
 
+/// The leader's last renewal of its lease as far as answers told it, with the row's version. An answer that arrives now
+/// may have been on its way for any part of its call, so the renewal is dated by its arrival. A leader whose lease has
+/// just run out tells nothing of it, and what it told before holds: a candidate without it waits a whole lease longer.
+pub fn last_renewal(
+    known: Option<(u64, ClockTime)>,
+    told: Option<LeaseNews>,
+    now: ClockTime,
+) -> Option<(u64, ClockTime)> {
+    told.map(|lease| (lease.version, now.minus_ms(lease.age_ms))).or(known)
+}
+
 /// Requests for a model, or for one of its adapters, at a gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandLine {
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -46,7 +46,7 @@
 pub use fleet_config::FleetConfig;
 pub use fleet_messages::{
     AdapterName, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LeaseNews, NewsMarks,
-    RunningLine, TeamRoom, TokenAsk, TokenGrantLine, ViewCopy, ViewStamp,
+    RunningLine, TeamRoom, TokenAsk, TokenGrantLine, ViewCopy, ViewStamp, last_renewal,
 };
 pub use grant_book::GrantBook;
 pub use grant_window::GrantWindow;
--- a/crates/cowslip-entry/tests/entry/news_cases.rs
+++ b/crates/cowslip-entry/tests/entry/news_cases.rs
@@ -1,6 +1,9 @@
 //! What a leader tells of upstreams, and what a gateway takes from it.
 
-use cowslip_entry::{LeaderNews, NewsMarks, ToldNews, UpstreamBook, UpstreamEntry, UpstreamNews, ViewStamp};
+use cowslip_entry::{
+    LeaderNews, LeaseNews, NewsMarks, ToldNews, UpstreamBook, UpstreamEntry, UpstreamNews, ViewStamp,
+    last_renewal,
+};
 use rstest::rstest;
 use smol_str::SmolStr;
 
@@ -112,3 +115,16 @@
     let known = upstreams.get(&upstream("e1")).expect("a known upstream");
     assert_eq!((known.entry.version, known.seen_version), (3, 8));
 }
+
+/// Guards against a last answer without a lease that makes a candidate forget when the lease was renewed: the fleet was
+/// without a leader for 1.5 s longer, and a weak gateway took over.
+#[rstest]
+#[case::told(Some(LeaseNews { version: 9, age_ms: 200 }), Some((9, 800)))]
+#[case::run_out(None, Some((7, 100)))]
+fn a_told_renewal_is_kept_until_a_later_one(
+    #[case] told: Option<LeaseNews>,
+    #[case] expected: Option<(u64, u64)>,
+) {
+    let renewal = last_renewal(Some((7, at(100))), told, at(1_000));
+    assert_eq!(renewal.map(|(version, when)| (version, when.millis())), expected);
+}
--- a/crates/cowslip-fleet/tests/fleet/lease_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_cases.rs
@@ -136,3 +136,82 @@
     assert_eq!(candidate.is_leader(at(700)), by_holder);
     assert_eq!(holder.is_leader(at(700)), !by_holder);
 }
+
+/// The version of the lease row as a candidate would read it now.
+fn row_version(table: &FakeTable) -> u64 {
+    table.read(LEASE_KEY).expect("a row").version
+}
+
+/// A candidate that was told of the renewal it finds need not wait as if the row were new; one that was told of another
+/// must, because the holder may have renewed since.
+#[rstest]
+#[case::same_version(0, true)]
+#[case::other_version(1, false)]
+fn a_told_renewal_counts_for_its_own_version_only(#[case] off: u64, #[case] leads: bool) {
+    let (mut holder, mut candidate, mut table) = (controller("a"), controller("b"), FakeTable::default());
+    settle(&mut holder, &mut table, 0);
+    let told = holder.renewal(at(100)).expect("the holder's renewal");
+    assert_eq!(told, (row_version(&table), at(0)));
+    candidate.told(told.0 + off, told.1);
+    settle(&mut candidate, &mut table, LEASE_TAKEOVER_MS - 1);
+    assert!(!candidate.is_leader(at(LEASE_TAKEOVER_MS - 1)), "the lease has not run out");
+    settle(&mut candidate, &mut table, LEASE_TAKEOVER_MS);
+    settle(&mut candidate, &mut table, LEASE_TAKEOVER_MS + 501);
+    assert_eq!(candidate.is_leader(at(LEASE_TAKEOVER_MS + 501)), leads);
+}
+
+/// A process that does not hold the lease must not tell of a renewal: candidates would take a lease over that is held.
+#[test]
+fn only_a_valid_holder_tells_of_its_renewal() {
+    let (mut holder, mut candidate, mut table) = (controller("a"), controller("b"), FakeTable::default());
+    settle(&mut holder, &mut table, 0);
+    settle(&mut candidate, &mut table, 100);
+    assert_eq!(candidate.renewal(at(100)), None);
+    assert_eq!(holder.renewal(at(LEASE_VALID_MS)), None);
+}
+
+/// A new holder waits with its orders until the one before it can have sent none any more. The first one waits for nobody.
+#[test]
+fn a_takeover_knows_until_when_the_earlier_holder_acted() {
+    let (mut holder, mut candidate, mut table) = (controller("a"), controller("b"), FakeTable::default());
+    settle(&mut holder, &mut table, 0);
+    assert_eq!(holder.earlier_until(at(0)), None);
+    settle(&mut candidate, &mut table, 700);
+    settle(&mut candidate, &mut table, 700 + LEASE_TAKEOVER_MS);
+    assert!(candidate.is_leader(at(700 + LEASE_TAKEOVER_MS)));
+    let until = candidate.earlier_until(at(700 + LEASE_TAKEOVER_MS)).expect("an earlier holder");
+    assert!(until >= at(LEASE_VALID_MS), "{until} is before the lease of the earlier holder ran out");
+    assert!(until <= at(700 + LEASE_TAKEOVER_MS));
+}
+
+/// Processes that start after all were killed know the fleet's size only from the row: renewals write it, and a takeover
+/// by one that knows less leaves it as it was.
+#[test]
+fn the_row_tells_the_fleets_size() {
+    let (mut holder, mut candidate, mut table) = (controller("a"), controller("b"), FakeTable::default());
+    assert_eq!(candidate.members(), None);
+    settle(&mut holder, &mut table, 0);
+    holder.set_members(85);
+    settle(&mut holder, &mut table, 1_000);
+    settle(&mut candidate, &mut table, 1_100);
+    assert_eq!(candidate.members(), Some(85));
+    candidate.set_members(3);
+    settle(&mut candidate, &mut table, 1_100 + LEASE_TAKEOVER_MS);
+    assert!(candidate.is_leader(at(1_100 + LEASE_TAKEOVER_MS)));
+    assert_eq!(table.parsed::<LeaseRow>(LEASE_KEY).unwrap().members, 85);
+}
+
+/// A renewal that is repeated because its answer was lost must be the same write, or the first one would not be known.
+#[test]
+fn a_repeated_renewal_writes_the_same_size() {
+    let (mut lease, mut table) = (controller("a"), FakeTable::default());
+    settle(&mut lease, &mut table, 0);
+    lease.set_members(5);
+    let renewal = commit(&mut lease, 1_000);
+    lease.commit_answered(&Err(lost()), at(1_500));
+    lease.set_members(6);
+    table.commit(&renewal);
+    settle(&mut lease, &mut table, 1_900);
+    assert!(lease.is_leader(at(1_000 + LEASE_VALID_MS - 1)));
+    assert_eq!(table.parsed::<LeaseRow>(LEASE_KEY).unwrap().members, 5);
+}
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cowslip_entry::{
-    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, heard_ms, report_pause_ms,
+    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, heard_ms, last_renewal,
+    report_pause_ms,
 };
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
 use cowslip_units::{ClockTime, TeamId};
@@ -262,10 +263,7 @@
         return;
     }
     state.leader_heard_at = Some(sent_at);
-    // The answer may have been on its way for any part of the call, so the renewal is dated by its arrival.
-    // A leader whose lease has just run out tells nothing of it; what it told before holds.
-    let told = answer.lease.map(|lease| (lease.version, now.minus_ms(lease.age_ms)));
-    state.lease_told = told.or(state.lease_told);
+    state.lease_told = last_renewal(state.lease_told, answer.lease, now);
     state.peers = answer.peers;
     take_members(&mut state, answer.members, answer.fresh);
     state.fleet = Some(answer.fleet as usize);
