operators' view: a full read is as new as itself; randomised runs of views

A zone that was taken back would have stayed out at gateways that had missed the change, for as long as the leader vouched. Ruled out: an older copy (the relabelled copy is another fault, and caught). Change: after a full read the newest change may be as late as the read, so gateways that know less read for themselves once. Conclusion: kept; it costs a call a gateway after a leader's full read.

--- a/crates/cowslip-entry/src/operator_view.rs
+++ b/crates/cowslip-entry/src/operator_view.rs
@@ -65,7 +65,7 @@
         self.version
     }
 
-    /// Store version of the newest change of the table.
+    /// Store version of the newest change of the table, as far as is known; it is not later than this.
     pub fn changed(&self) -> u64 {
         self.changed
     }
@@ -125,6 +125,8 @@
             self.apply_change(change, &mut outcome);
         }
         self.version = version;
+        // A row that was removed before this read is not in it: the newest change may be as late as the read itself.
+        self.changed = version;
         self.prove(self.changed, sent_at);
         outcome
     }
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -9,4 +9,5 @@
 mod planner_cases;
 mod planner_runs;
 mod view_cases;
+mod view_runs;
 mod wait_cases;
