--- a/crates/cowslip-entry/tests/entry/view_runs.rs
+++ b/crates/cowslip-entry/tests/entry/view_runs.rs
@@ -71,7 +71,7 @@
                 _ => false,
             })
         };
-        let out = DOMAINS.iter().filter_map(|name| of_domain(name));
+        let out = DOMAINS.iter().filter_map(of_domain);
         let out = out.filter(|change| matches!(change.row, OperatorRow::Evacuated(_)));
         config.into_iter().chain(out).map(|change| (*change).clone()).collect()
     }
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -16,8 +16,9 @@
 
 use crate::caller_server::{listen, serve_callers, serve_status};
 use crate::gateway_state::Gateway;
-use crate::leader_duty::{lease_loop, plan_loop};
+use crate::leader_duty::lease_loop;
 use crate::leader_exchange::{PeerServer, report_loop};
+use crate::plan_duty::plan_loop;
 use crate::store_follow::{FollowedTable, follow_table};
 
 /// Time in ms after the signal at which idle connections are closed: by then the platform's entry has seen two
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -5,9 +5,8 @@
 
 use cowslip_adapter::{NodeSettings, StoreClient, StoreRow};
 use cowslip_entry::{
-    ArrivalLine, DemandLine, GatewayReport, ModelNeed, NewsMarks, OperatorView, PartTerms, PickScope,
-    RepeatBudget, RequestNeed, RunningLine, ServiceRule, StoreTrouble, TeamRule, TokenAsk, TokenPurse,
-    UpstreamBook, UpstreamPick, ViewStamp, pair_weight, rank_of, text_hash,
+    ArrivalLine, ModelNeed, NewsMarks, OperatorView, PickScope, RepeatBudget, RequestNeed, RunningLine,
+    ServiceRule, StoreTrouble, TokenPurse, UpstreamBook, UpstreamPick, ViewStamp,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::ProcessClock;
@@ -17,7 +16,6 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use crate::FALLBACK_MEMBERS;
 use crate::gateway_log::LineBudget;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::leader_state::LeaderState;
@@ -40,9 +38,11 @@
 
 /// Requests of a model since the last report.
 #[derive(Clone, Debug)]
-struct ArrivedCount {
-    need: ModelNeed,
-    count: u32,
+pub(crate) struct ArrivedCount {
+    /// What they need.
+    pub need: ModelNeed,
+    /// How many.
+    pub count: u32,
 }
 
 /// Tokens that requests of a team lack at the moment.
@@ -117,8 +117,10 @@
     pub active: u32,
     /// Log lines of this second.
     pub lines: LineBudget,
-    arrived: Vec<ArrivedCount>,
-    running: Vec<RunningLine>,
+    /// Requests by model since the last report.
+    pub arrived: Vec<ArrivedCount>,
+    /// Running calls of this gateway.
+    pub running: Vec<RunningLine>,
     next_ticket: u64,
 }
 
@@ -247,38 +249,6 @@
         self.store_trouble.failed(sent_at, now);
     }
 
-    /// Number of gateways; `None` as long as neither a leader nor the lease row has told anything.
-    pub(crate) fn fleet_size(&self) -> Option<usize> {
-        match self.members.len().max(self.fleet?) {
-            0 => Some(FALLBACK_MEMBERS),
-            size => Some(size),
-        }
-    }
-
-    /// Number of gateways among which limits are divided.
-    pub(crate) fn member_count(&self) -> usize {
-        self.fleet_size().unwrap_or(FALLBACK_MEMBERS)
-    }
-
-    /// Sets what this gateway may spend of a team's rate without a leader, nothing as long as the fleet's size is unknown.
-    pub(crate) fn set_own_part(&mut self, own: &str, team: &TeamRule, room: u64, now: ClockTime) {
-        let Some(members) = self.fleet_size() else { return };
-        let key = text_hash(team.name.as_str());
-        let rank = rank_of(key, own, &self.members);
-        let known = rank < self.members.len() && members == self.members.len();
-        let place = if known { rank } else { (pair_weight(key, text_hash(own)) % members as u64) as usize };
-        let terms = PartTerms { per_s: team.per_s, members, place, room };
-        self.team_tokens(&team.name, now).purse.set_own_part(terms, now);
-    }
-
-    /// Sets the own parts of all teams anew after a change of the configuration or of the fleet's size.
-    pub(crate) fn reset_own_parts(&mut self, own: &str, now: ClockTime) {
-        let Some(config) = self.view.config().cloned() else { return };
-        for team in config.teams().iter().filter(|team| team.limited()) {
-            self.set_own_part(own, team, 0, now);
-        }
-    }
-
     /// Chooses an upstream for a request.
     pub(crate) fn pick(
         &self,
@@ -413,59 +383,4 @@
         };
         &mut self.repeats[at].1
     }
-
-    /// Composes the report to the leader and forgets what it tells.
-    pub(crate) fn take_report(
-        &mut self,
-        settings: &NodeSettings,
-        brief: bool,
-        now: ClockTime,
-    ) -> GatewayReport {
-        let mut demand: Vec<DemandLine> = Vec::new();
-        for arrived in std::mem::take(&mut self.arrived) {
-            demand_line(&mut demand, &arrived.need).arrived += arrived.count;
-        }
-        for waiting in self.waiting.iter().filter(|waiting| waiting.unplaced) {
-            let line = demand_line(&mut demand, &waiting.need);
-            line.waiting += 1;
-            line.oldest_ms = line.oldest_ms.max(now.since_ms(waiting.since));
-            line.priority = line.priority.min(waiting.priority);
-        }
-        let asks = self.tokens.iter_mut().map(|tokens| TokenAsk {
-            team: tokens.team.clone(),
-            short: tokens.short.saturating_sub(tokens.purse.left(now)),
-            ahead: tokens.purse.ahead(now),
-            returned: tokens.purse.take_returned(),
-            spent_alone: tokens.purse.spent_alone(),
-        });
-        let tokens: Vec<TokenAsk> =
-            asks.filter(|ask| ask.short + ask.ahead + ask.returned + ask.spent_alone > 0).collect();
-        GatewayReport {
-            gateway: settings.name.clone(),
-            address: Some(settings.peers),
-            view: self.stamp(now),
-            term: self.term,
-            marks: self.marks,
-            demand,
-            running: if brief { Vec::new() } else { self.running.clone() },
-            tokens,
-            brief,
-        }
-    }
-}
-
-fn demand_line<'a>(lines: &'a mut Vec<DemandLine>, need: &ModelNeed) -> &'a mut DemandLine {
-    let found = lines.iter().position(|line| line.model == need.model && line.adapter == need.adapter);
-    let at = found.unwrap_or_else(|| {
-        lines.push(DemandLine {
-            model: need.model.clone(),
-            adapter: need.adapter.clone(),
-            arrived: 0,
-            waiting: 0,
-            oldest_ms: 0,
-            priority: u8::MAX,
-        });
-        lines.len() - 1
-    });
-    &mut lines[at]
 }
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -19,6 +19,7 @@
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
 use crate::leader_duty::SMALL_FLEET;
+use crate::own_parts::learn_fleet;
 use crate::store_follow::{take_copy, take_news, view_copy};
 
 /// Pause in ms between reports while requests wait for the leader.
@@ -209,14 +210,6 @@
     }
 }
 
-/// Takes another's word on the fleet's size, or the lease row's, as long as no leader has told it.
-pub(crate) fn learn_fleet(state: &mut GatewayState, own: &str, fleet: usize, now: ClockTime) {
-    if state.members.is_empty() && state.fleet.is_none_or(|known| known < fleet) {
-        state.fleet = Some(fleet);
-        state.reset_own_parts(own, now);
-    }
-}
-
 async fn ask_leader(
     gateway: &Arc<Gateway>,
     clients: &mut PeerClients,
--- /dev/null
+++ b/crates/cowslip-gateway/src/plan_duty.rs
@@ -0,0 +1,204 @@
+//! The leader's plan, and its orders to engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_adapter::header_names::EXPECT_UPSTREAM;
+use cowslip_adapter::{ORDER_PATH, REPORT_PATH, engine_status, order_answer, order_body};
+use cowslip_entry::{EngineOrder, EngineStatus, OrderAnswer, PlanStep, UpstreamEntry};
+use cowslip_units::{FenceNumber, UpstreamId};
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use slog::{info, warn};
+use tokio::time::timeout;
+
+use crate::gateway_metrics::OutcomeLabels;
+use crate::gateway_state::Gateway;
+use crate::upstream_pool::SendFault;
+
+/// Longest pause in ms between two plans.
+const PLAN_MS: u64 = 60;
+
+/// Shortest pause in ms between two plans.
+const LEAST_PLAN_MS: u64 = 10;
+
+/// The pause is at least so many times as long as the plan took. A leader that planned with every report of 85 gateways
+/// had no time left to renew its lease.
+const PLAN_REST_FACTOR: u64 = 6;
+
+/// Time in ms for an engine to answer an order or a question.
+const ENGINE_MS: u64 = 700;
+
+/// Longest report of an engine in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// True when this gateway may act as the leader of that fence at this moment.
+fn leads_now(gateway: &Gateway, fence: FenceNumber) -> bool {
+    let lease = gateway.lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    lease.as_ref().and_then(|lease| lease.epoch(gateway.now())) == Some(fence)
+}
+
+/// Plans and sends orders while this gateway leads.
+pub(crate) async fn plan_loop(gateway: Arc<Gateway>) {
+    loop {
+        let begun_at = gateway.now();
+        let steps = plan(&gateway);
+        let took_ms = gateway.now().since_ms(begun_at);
+        for (step, fence) in steps {
+            tokio::spawn(carry_out(Arc::clone(&gateway), step, fence));
+        }
+        let woken = timeout(Duration::from_millis(PLAN_MS), gateway.lead_now.notified()).await;
+        let rest_ms = LEAST_PLAN_MS.max(took_ms * PLAN_REST_FACTOR);
+        if woken.is_ok() || rest_ms > PLAN_MS {
+            gateway.clock.sleep_ms(rest_ms).await;
+        }
+    }
+}
+
+fn plan(gateway: &Gateway) -> Vec<(PlanStep, FenceNumber)> {
+    let now = gateway.now();
+    let mut state = gateway.lock();
+    let state = &mut *state;
+    let (Some(lead), Some(config)) = (state.lead.as_mut(), state.view.config().cloned()) else {
+        return Vec::new();
+    };
+    let fence = lead.fence;
+    let proven = state.upstreams_known.then_some((state.upstream_version, state.upstreams_at));
+    if !state.upstreams_full {
+        // The weights' places are read from the store first. The others are told meanwhile what is known.
+        lead.note(&state.book, proven, now);
+        return Vec::new();
+    }
+    let is_engine = |entry: &&UpstreamEntry| {
+        config.service(&entry.service).is_some_and(|service| service.engine.is_some())
+    };
+    let entries = state.book.all().iter().map(|known| &known.entry).filter(is_engine);
+    lead.planner.sync(entries, &state.evacuated, now);
+    let steps = lead.planner.step(config.services(), now);
+    lead.note(&state.book, proven, now);
+    steps.into_iter().map(|step| (step, fence)).collect()
+}
+
+async fn carry_out(gateway: Arc<Gateway>, step: PlanStep, fence: FenceNumber) {
+    match step {
+        PlanStep::Ask(upstream, address) => {
+            let status = ask(&gateway, &upstream, address).await;
+            log_status(&gateway, &upstream, status.as_ref());
+            if let Some(lead) = gateway.lock().lead.as_mut() {
+                lead.planner.status(&upstream, status, gateway.clock.now());
+            }
+        }
+        PlanStep::Order(order) => {
+            let answer = send_order(&gateway, &order, fence).await;
+            let now = gateway.now();
+            let labels = OutcomeLabels { kind: action_name(&order), outcome: answer_name(answer) };
+            gateway.metrics.orders.get_or_create(&labels).inc();
+            info!(gateway.logger, "order"; "upstream" => %order.upstream, "action" => %order.action,
+                "expected_orders" => order.expected_orders, "fence" => fence.get(), "answer" => answer_name(answer));
+            let mut state = gateway.lock();
+            let config = state.view.config().cloned();
+            let service = state.book.get(&order.upstream).map(|known| known.entry.service.clone());
+            let rule = service.and_then(|service| config.as_ref()?.service(&service)?.engine.clone());
+            if let (Some(lead), Some(rule)) = (state.lead.as_mut(), rule) {
+                lead.planner.answered(&order, answer, &rule, now);
+            }
+        }
+    }
+    gateway.lead_now.notify_one();
+}
+
+fn log_status(gateway: &Gateway, upstream: &UpstreamId, status: Option<&EngineStatus>) {
+    match status {
+        Some(status) => {
+            let models: Vec<&str> = status.models.iter().map(|held| held.name.as_str()).collect();
+            info!(gateway.logger, "engine_status"; "upstream" => %upstream, "models" => models.join(" "),
+                "busy" => status.busy, "orders" => status.orders, "born" => status.born);
+        }
+        None => warn!(gateway.logger, "engine_silent"; "upstream" => %upstream),
+    }
+}
+
+const fn action_name(order: &EngineOrder) -> &'static str {
+    use cowslip_entry::EngineAction;
+    match order.action {
+        EngineAction::Load(_) => "load",
+        EngineAction::Unload(_) => "unload",
+        EngineAction::LoadAdapter(..) => "load_adapter",
+        EngineAction::UnloadAdapter(..) => "unload_adapter",
+    }
+}
+
+const fn answer_name(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Started => "started",
+        OrderAnswer::Holds => "holds",
+        OrderAnswer::Conflict => "conflict",
+        OrderAnswer::Refused => "refused",
+        OrderAnswer::NotSent => "not_sent",
+        OrderAnswer::InDoubt => "in_doubt",
+    }
+}
+
+async fn send_order(gateway: &Gateway, order: &EngineOrder, fence: FenceNumber) -> OrderAnswer {
+    let holder = gateway.settings.name.as_str();
+    let body = match order_body(order, holder, fence) {
+        Ok(body) => body,
+        Err(error) => {
+            warn!(gateway.logger, "order_unwritable"; "error" => %error);
+            return OrderAnswer::Refused;
+        }
+    };
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(ORDER_PATH)
+        .header(http::header::HOST, order.address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(EXPECT_UPSTREAM, order.upstream.as_str())
+        .body(Full::new(Bytes::from(body)));
+    let Ok(request) = request else { return OrderAnswer::Refused };
+    if !leads_now(gateway, fence) {
+        return OrderAnswer::NotSent;
+    }
+    let call = async {
+        match gateway.pool.send(order.address, request).await {
+            Ok((response, connection)) => {
+                let status = response.status().as_u16();
+                let keep = cowslip_adapter::keep_alive_s(response.headers());
+                if response.into_body().collect().await.is_ok() {
+                    gateway.pool.put_back(connection, keep);
+                }
+                order_answer(status)
+            }
+            Err(SendFault::NotSent(_)) => OrderAnswer::NotSent,
+            Err(SendFault::Broken(_)) => OrderAnswer::InDoubt,
+        }
+    };
+    timeout(Duration::from_millis(ENGINE_MS), call).await.unwrap_or(OrderAnswer::InDoubt)
+}
+
+async fn ask(gateway: &Gateway, upstream: &UpstreamId, address: SocketAddr) -> Option<EngineStatus> {
+    let request = Request::builder()
+        .uri(REPORT_PATH)
+        .header(http::header::HOST, address.to_string())
+        .header(EXPECT_UPSTREAM, upstream.as_str())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let call = async {
+        let (response, connection) = gateway.pool.send(address, request).await.ok()?;
+        let ok = response.status().is_success();
+        let keep = cowslip_adapter::keep_alive_s(response.headers());
+        let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
+        gateway.pool.put_back(connection, keep);
+        ok.then_some(body)
+    };
+    let body = timeout(Duration::from_millis(ENGINE_MS), call).await.ok()??;
+    match engine_status(&body) {
+        Ok(status) => Some(status),
+        Err(fault) => {
+            warn!(gateway.logger, "engine_report_unreadable"; "upstream" => %upstream, "fault" => fault);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslip-gateway/src/report_draft.rs
@@ -0,0 +1,64 @@
+//! The report of a gateway to its leader, drawn from its state.
+
+use cowslip_adapter::NodeSettings;
+use cowslip_entry::{DemandLine, GatewayReport, ModelNeed, TokenAsk};
+use cowslip_units::ClockTime;
+
+use crate::gateway_state::GatewayState;
+
+impl GatewayState {
+    /// Composes the report to the leader and forgets what it tells.
+    pub(crate) fn take_report(
+        &mut self,
+        settings: &NodeSettings,
+        brief: bool,
+        now: ClockTime,
+    ) -> GatewayReport {
+        let mut demand: Vec<DemandLine> = Vec::new();
+        for arrived in std::mem::take(&mut self.arrived) {
+            demand_line(&mut demand, &arrived.need).arrived += arrived.count;
+        }
+        for waiting in self.waiting.iter().filter(|waiting| waiting.unplaced) {
+            let line = demand_line(&mut demand, &waiting.need);
+            line.waiting += 1;
+            line.oldest_ms = line.oldest_ms.max(now.since_ms(waiting.since));
+            line.priority = line.priority.min(waiting.priority);
+        }
+        let asks = self.tokens.iter_mut().map(|tokens| TokenAsk {
+            team: tokens.team.clone(),
+            short: tokens.short.saturating_sub(tokens.purse.left(now)),
+            ahead: tokens.purse.ahead(now),
+            returned: tokens.purse.take_returned(),
+            spent_alone: tokens.purse.spent_alone(),
+        });
+        let tokens: Vec<TokenAsk> =
+            asks.filter(|ask| ask.short + ask.ahead + ask.returned + ask.spent_alone > 0).collect();
+        GatewayReport {
+            gateway: settings.name.clone(),
+            address: Some(settings.peers),
+            view: self.stamp(now),
+            term: self.term,
+            marks: self.marks,
+            demand,
+            running: if brief { Vec::new() } else { self.running.clone() },
+            tokens,
+            brief,
+        }
+    }
+}
+
+fn demand_line<'a>(lines: &'a mut Vec<DemandLine>, need: &ModelNeed) -> &'a mut DemandLine {
+    let found = lines.iter().position(|line| line.model == need.model && line.adapter == need.adapter);
+    let at = found.unwrap_or_else(|| {
+        lines.push(DemandLine {
+            model: need.model.clone(),
+            adapter: need.adapter.clone(),
+            arrived: 0,
+            waiting: 0,
+            oldest_ms: 0,
+            priority: u8::MAX,
+        });
+        lines.len() - 1
+    });
+    &mut lines[at]
+}
