own parts: a change of configuration forgets no overdraft

Cause: found while the diff was read: a gateway without a leader set its parts anew with each configuration, and forgot what it had spent ahead of its part; in a storm of configurations it would spend ahead again and again. Ruled out: leader's answers, which count what was spent before they set a part anew. Change: OwnPart::renewed keeps the level unless the leader gives room. Before: the test's equality fails when the level is forgotten.

--- a/crates/cowslip-entry/src/own_part.rs
+++ b/crates/cowslip-entry/src/own_part.rs
@@ -24,8 +24,9 @@
     pub members: usize,
     /// Place among them, from zero; another for each team.
     pub place: usize,
-    /// Tokens that may be spent at once.
-    pub room: u64,
+    /// Tokens that the leader leaves to be spent at once; `None` when the terms change without a leader's word, and what
+    /// was saved or overdrawn stays.
+    pub room: Option<u64>,
 }
 
 /// One gateway's part of one team's rate.
@@ -46,20 +47,30 @@
         Self { rate_milli: 0, cap_milli: 0, place_milli: 0, level_milli: 0, refilled_at: now }
     }
 
-    /// The part that follows from `terms`.
-    pub fn new(terms: PartTerms, now: ClockTime) -> Self {
+    /// The part that follows from `terms`, after this one. What was spent ahead of the part is forgotten only on a
+    /// leader's word, who has counted it; with each change of the configuration it would be spent again.
+    #[must_use]
+    pub fn renewed(mut self, terms: PartTerms, now: ClockTime) -> Self {
+        self.refill(now);
+        let room = terms.room.unwrap_or_default();
         let members = terms.members.max(1) as u64;
         let rate_milli = terms.per_s * MILLI * UNKNOWN_PERCENT / 100 / members;
         let place = (terms.place as u64).min(members - 1);
         Self {
             rate_milli,
-            cap_milli: signed((terms.room * MILLI).max(rate_milli.saturating_mul(CAP_S))),
+            cap_milli: signed((room * MILLI).max(rate_milli.saturating_mul(CAP_S))),
             place_milli: (2 * place + 1) * MILLI / (2 * members),
-            level_milli: signed(terms.room * MILLI),
+            level_milli: terms.room.map_or(self.level_milli, |room| signed(room * MILLI)),
             refilled_at: now,
         }
     }
 
+    fn refill(&mut self, now: ClockTime) {
+        let come = signed(now.since_ms(self.refilled_at).saturating_mul(self.rate_milli) / MILLI);
+        self.level_milli = self.level_milli.saturating_add(come).min(self.cap_milli);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
     /// Thousandths of a request of `amount` that may be spent ahead of the part. A part that comes up to the request
     /// within a second needs no turns; in a small fleet they would only add to what is spent at once.
     fn ahead_milli(&self, amount: u64) -> u64 {
@@ -69,9 +80,7 @@
 
     /// Takes `amount` tokens if it is this gateway's turn.
     pub fn take(&mut self, amount: u64, now: ClockTime) -> bool {
-        let come = signed(now.since_ms(self.refilled_at).saturating_mul(self.rate_milli) / MILLI);
-        self.level_milli = self.level_milli.saturating_add(come).min(self.cap_milli);
-        self.refilled_at = self.refilled_at.max(now);
+        self.refill(now);
         let needed = signed(amount.saturating_mul(MILLI - self.ahead_milli(amount)));
         let taken = self.rate_milli > 0 && self.level_milli >= needed;
         if taken {
--- a/crates/cowslip-entry/src/token_purse.rs
+++ b/crates/cowslip-entry/src/token_purse.rs
@@ -75,7 +75,7 @@
 
     /// Sets what may be spent without a leader.
     pub fn set_own_part(&mut self, terms: PartTerms, now: ClockTime) {
-        self.own = OwnPart::new(terms, now);
+        self.own = self.own.clone().renewed(terms, now);
     }
 
     fn expire(&mut self, now: ClockTime) {
--- a/crates/cowslip-entry/tests/entry/grant_runs.rs
+++ b/crates/cowslip-entry/tests/entry/grant_runs.rs
@@ -69,7 +69,7 @@
 }
 
 fn terms(rule: &TeamRule, members: usize, place: usize, room: u64) -> PartTerms {
-    PartTerms { per_s: rule.per_s, members, place, room }
+    PartTerms { per_s: rule.per_s, members, place, room: Some(room) }
 }
 
 /// Plays a run and returns the most that any window held, with the tokens that were spent and asked for.
@@ -351,3 +351,28 @@
     let left = if expected == PurseStep::Taken { PurseStep::Short(300) } else { PurseStep::Taken };
     assert_eq!(purse.take(&urgent, at(8)), left);
 }
+
+/// Guards against gateways without a leader that spend a request ahead of their part again with each configuration: 85 of them
+/// at ten changes a second would spend many times the rate. Changes make no difference, and the rate holds.
+#[test]
+fn a_change_of_configuration_forgets_no_overdraft() {
+    let rule = rule(30_000, 30_000);
+    let members = 85;
+    let spent = |changes: bool| {
+        let mut purses: Vec<TokenPurse> = (0..members).map(|_| TokenPurse::new(at(0))).collect();
+        let mut spent = 0;
+        for millis in (0..8_000).step_by(100) {
+            for (place, purse) in purses.iter_mut().enumerate() {
+                if changes || millis == 0 {
+                    let terms = PartTerms { room: None, ..terms(&rule, members, place, 0) };
+                    purse.set_own_part(terms, at(millis));
+                }
+                let taken = purse.reserve(2_000, true, at(millis)) == PurseStep::Taken;
+                spent += if taken { 2_000 } else { 0 };
+            }
+        }
+        spent
+    };
+    assert_eq!(spent(true), spent(false));
+    assert!(spent(true) <= 8 * 30_000 && spent(true) > 0);
+}
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -313,7 +313,7 @@
     let Some(config) = state.view.config().cloned() else { return };
     for room in rooms {
         if let Some(team) = config.team(&room.team) {
-            state.set_own_part(own, team, room.tokens, now);
+            state.set_own_part(own, team, Some(room.tokens), now);
             state.team_tokens(&team.name, now).tight_until = now.plus_ms(room.tight_ms);
         }
     }
--- a/crates/cowslip-gateway/src/own_parts.rs
+++ b/crates/cowslip-gateway/src/own_parts.rs
@@ -21,7 +21,7 @@
     }
 
     /// Sets what this gateway may spend of a team's rate without a leader, nothing as long as the fleet's size is unknown.
-    pub(crate) fn set_own_part(&mut self, own: &str, team: &TeamRule, room: u64, now: ClockTime) {
+    pub(crate) fn set_own_part(&mut self, own: &str, team: &TeamRule, room: Option<u64>, now: ClockTime) {
         let Some(members) = self.fleet_size() else { return };
         let key = text_hash(team.name.as_str());
         let rank = rank_of(key, own, &self.members);
@@ -35,7 +35,7 @@
     pub(crate) fn reset_own_parts(&mut self, own: &str, now: ClockTime) {
         let Some(config) = self.view.config().cloned() else { return };
         for team in config.teams().iter().filter(|team| team.limited()) {
-            self.set_own_part(own, team, 0, now);
+            self.set_own_part(own, team, None, now);
         }
     }
 }
