--- a/crates/cowslip-entry/tests/entry/grant_runs.rs
+++ b/crates/cowslip-entry/tests/entry/grant_runs.rs
@@ -191,10 +191,13 @@
 #[case::small_fleet_killed(8, 3.0, Trouble::KilledAtOnce)]
 #[case::large_fleet_killed(85, 3.0, Trouble::KilledAtOnce)]
 fn no_window_holds_more_than_the_limit(#[case] members: usize, #[case] load: f64, #[case] trouble: Trouble) {
+    let mut largest = 0;
     for seed in 0..seeds(26) {
         let (most, ..) = play(seed, members, load, trouble, Sabotage::None);
+        largest = largest.max(most);
         assert!(most <= bound(), "seed {seed}: {most} tokens in a window, {} allowed", bound());
     }
+    println!("{members} gateways, load {load}, {trouble:?}: at most {largest} of {} tokens", bound());
 }
 
 /// Guards against refusals inside a team's rate: a team at half of its rate is served but for the moments in which a
@@ -263,6 +266,7 @@
         let allowed = bound() - 4 * 15_000;
         assert!(run_spent <= allowed, "seed {seed}: {run_spent} tokens, {allowed} allowed");
     }
+    println!("{members} gateways without a leader: {spent} of {asked} tokens");
     assert!(spent * 3 >= asked, "{spent} of {asked} tokens");
 }
 
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -49,6 +49,12 @@
         orders
     }
 
+    /// One step of the plan, with nothing answered.
+    fn steps(&mut self, millis: u64) -> Vec<PlanStep> {
+        self.planner.sync(self.entries.iter(), &[], at(millis));
+        self.planner.step(&self.services, at(millis))
+    }
+
     fn answer(&mut self, order: &EngineOrder, answer: OrderAnswer, millis: u64) {
         let rule = self.services[0].engine.clone().expect("engine rule");
         self.planner.answered(order, answer, &rule, at(millis));
@@ -69,6 +75,10 @@
     entry
 }
 
+fn is_load(step: &PlanStep) -> bool {
+    matches!(step, PlanStep::Order(EngineOrder { action: EngineAction::Load(_), .. }))
+}
+
 fn actions(orders: &[EngineOrder]) -> Vec<String> {
     orders.iter().map(|order| format!("{} {}", order.upstream, order.action)).collect()
 }
@@ -114,11 +124,8 @@
     desk.planner.status(&upstream("e1"), Some(status), at(1_300));
     desk.entries = vec![engine("e1", &[kept])];
     desk.wait_for("d", 1, 3_000);
-    desk.planner.sync(desk.entries.iter(), &[], at(3_000));
-    let steps = desk.planner.step(&desk.services, at(3_000));
-    let loads =
-        |step: &PlanStep| matches!(step, PlanStep::Order(EngineOrder { action: EngineAction::Load(_), .. }));
-    assert!(!steps.iter().any(loads), "{steps:?}");
+    let steps = desk.steps(3_000);
+    assert!(!steps.iter().any(is_load), "{steps:?}");
 }
 
 /// Guards against an order without an answer that is followed by another one under a new count: both would be carried
@@ -159,14 +166,11 @@
         born: 1,
     };
     desk.planner.status(&upstream("e1"), Some(status(&["a"], true)), at(1_210));
-    desk.planner.sync(desk.entries.iter(), &[], at(1_300));
-    assert!(desk.planner.step(&desk.services, at(1_300)).is_empty());
+    assert!(desk.steps(1_300).is_empty());
     desk.planner.status(&upstream("e1"), Some(status(&["a", "b"], false)), at(1_500));
     desk.wait_for("c", 1, 1_600);
-    let steps = desk.planner.step(&desk.services, at(1_600));
-    let loads =
-        |step: &PlanStep| matches!(step, PlanStep::Order(EngineOrder { action: EngineAction::Load(_), .. }));
-    assert!(!steps.iter().any(loads), "{steps:?}");
+    let steps = desk.steps(1_600);
+    assert!(!steps.iter().any(is_load), "{steps:?}");
 }
 
 /// Guards against orders that take turns with those of an earlier leader.
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -48,12 +48,12 @@
 /// Time in ms that a VM with little processor time or a narrow link leaves to the others at its start.
 const WEAK_START_MS: u64 = 500;
 
+/// Time in ms that such a VM of a large fleet leaves to the others when the leader is lost.
+const WEAK_MS: u64 = 1_500;
+
 /// Gateways that a leader on a weak VM can serve.
 pub(crate) const SMALL_FLEET: usize = 24;
 
-/// The same when the leader is lost: as long as the last of the others waits.
-const WEAK_MS: u64 = MAX_RANK_MS;
-
 /// Time in ms on top of the required gap between the orders of two holders.
 const GAP_MARGIN_MS: u64 = 200;
 
