leader: calls and waiting requests of gateways that report late still count

Cause: reports were dropped after 1.5 s, but gateways of a fleet of 295 report every 1.77 s, so a sixth of the fleet was left out of each plan: its waiting requests, its load, and the models that it uses, which could be unloaded under running calls. A gateway that is only silent lost the protection of its streams in the same way at any size. Ruled out: a longer time for everything. The load of gateways that have died would make engines look full for as long. Change: reports are stale after two usual pauses of the fleet; the calls that a silent gateway told protect their models for 20 s, as long as it counts as a member, but are no load.

--- a/crates/cowslip-entry/src/model_demand.rs
+++ b/crates/cowslip-entry/src/model_demand.rs
@@ -3,14 +3,19 @@
 use cowslip_units::{ClockTime, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
-use crate::{GatewayReport, ModelNeed, RunningLine};
+use crate::{GatewayReport, ModelNeed, RunningLine, heard_ms};
 
 /// Time in ms over which rates are smoothed.
 const SMOOTH_MS: f64 = 5_000.0;
 
-/// Time in ms after which a gateway's last report no longer counts.
+/// Time in ms after which a gateway's last report no longer tells what waits and what runs, in a small fleet. Gateways
+/// of a large one report more seldom.
 const STALE_MS: u64 = 1_500;
 
+/// Time in ms for which the calls of a silent gateway are taken to run on: it may relay streams for as long as they last,
+/// and a model that it uses must not make way meanwhile.
+const SILENT_CALLS_MS: u64 = 20_000;
+
 /// Demand for one model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelDemand {
@@ -56,7 +61,11 @@
     reports: Vec<HeardReport>,
     /// Running calls by upstream, model and adapter, summed over the reports; sorted.
     running: Vec<RunningLine>,
+    /// The same for the calls of gateways that have been silent since they told them.
+    silent: Vec<RunningLine>,
     smoothed_at: ClockTime,
+    /// Age in ms from which a report is stale.
+    stale_ms: u64,
 }
 
 impl DemandTable {
@@ -119,7 +128,8 @@
 
     /// Sums the reports up; call it before each decision.
     pub fn refresh(&mut self, now: ClockTime) {
-        self.reports.retain(|heard| now.since_ms(heard.at) < STALE_MS);
+        self.reports.retain(|heard| now.since_ms(heard.at) < SILENT_CALLS_MS);
+        let stale_ms = STALE_MS.max(heard_ms(self.reports.len()));
         let elapsed = now.since_ms(self.smoothed_at) as f64;
         self.smoothed_at = now;
         let keep = (-elapsed / SMOOTH_MS).exp();
@@ -131,7 +141,9 @@
             demand.oldest_ms = 0;
         }
         let reports = std::mem::take(&mut self.reports);
-        for heard in &reports {
+        let (fresh, stale): (Vec<&HeardReport>, Vec<&HeardReport>) =
+            reports.iter().partition(|heard| now.since_ms(heard.at) < stale_ms);
+        for heard in &fresh {
             let age = now.since_ms(heard.at);
             for line in &heard.report.demand {
                 let demand = self.entry(&line.model, now);
@@ -147,7 +159,9 @@
                 }
             }
         }
-        self.running = sum_running(&reports);
+        self.running = sum_running(&fresh);
+        self.silent = sum_running(&stale);
+        self.stale_ms = stale_ms;
         self.reports = reports;
         for demand in &mut self.models {
             demand.smooth_running = demand.smooth_running * keep + f64::from(demand.running) * (1.0 - keep);
@@ -174,7 +188,7 @@
     /// Adapters that requests wait for, the longest wait first.
     pub fn waiting_adapters(&self, now: ClockTime) -> Vec<AdapterDemand> {
         let mut waiting: Vec<AdapterDemand> = Vec::new();
-        for heard in &self.reports {
+        for heard in self.reports.iter().filter(|heard| now.since_ms(heard.at) < self.stale_ms) {
             let age = now.since_ms(heard.at);
             let lines = heard.report.demand.iter().filter(|line| line.waiting > 0 && line.adapter.is_some());
             for line in lines {
@@ -190,17 +204,10 @@
         waiting
     }
 
-    /// Calls of the fleet for a model, or an adapter of it, at an upstream.
+    /// Calls of the fleet for a model, or an adapter of it, at an upstream, those of silent gateways included.
     pub fn running_at(&self, upstream: &UpstreamId, model: &ModelId, adapter: Option<&SmolStr>) -> u32 {
-        let before = |line: &RunningLine| (&line.upstream, line.model.as_ref()) < (upstream, Some(model));
-        let first = self.running.partition_point(before);
-        let lines = self.running.get(first..).unwrap_or_default().iter();
-        let of_model =
-            lines.take_while(|line| line.upstream == *upstream && line.model.as_ref() == Some(model));
-        of_model
-            .filter(|line| adapter.is_none() || line.adapter.as_ref() == adapter)
-            .map(|line| line.count)
-            .sum()
+        let count = |lines: &[RunningLine]| count_at(lines, upstream, model, adapter);
+        count(&self.running) + count(&self.silent)
     }
 
     /// Calls of the fleet at each upstream but for `own` ones, as of the last [`refresh`](Self::refresh).
@@ -222,8 +229,20 @@
     }
 }
 
-/// Sums equal lines of all reports.
-fn sum_running(reports: &[HeardReport]) -> Vec<RunningLine> {
+/// Calls of sorted lines for a model, or an adapter of it, at an upstream.
+fn count_at(lines: &[RunningLine], upstream: &UpstreamId, model: &ModelId, adapter: Option<&SmolStr>) -> u32 {
+    let before = |line: &RunningLine| (&line.upstream, line.model.as_ref()) < (upstream, Some(model));
+    let first = lines.partition_point(before);
+    let of_model = lines
+        .get(first..)
+        .unwrap_or_default()
+        .iter()
+        .take_while(|line| line.upstream == *upstream && line.model.as_ref() == Some(model));
+    of_model.filter(|line| adapter.is_none() || line.adapter.as_ref() == adapter).map(|line| line.count).sum()
+}
+
+/// Sums equal lines of reports.
+fn sum_running(reports: &[&HeardReport]) -> Vec<RunningLine> {
     let mut lines: Vec<RunningLine> =
         reports.iter().flat_map(|heard| heard.report.running.iter().cloned()).collect();
     lines.sort_by(|left, right| {
--- /dev/null
+++ b/crates/cowslip-entry/tests/entry/demand_cases.rs
@@ -0,0 +1,57 @@
+//! What the leader believes of gateways that report late or fall silent.
+
+use cowslip_entry::{DemandLine, DemandTable, GatewayReport, RunningLine, report_pause_ms};
+use rstest::rstest;
+
+use crate::names::{at, model, upstream};
+
+/// A report of one running call and one waiting request.
+fn report(gateway: &str) -> GatewayReport {
+    let running = RunningLine { upstream: upstream("e1"), model: Some(model("a")), adapter: None, count: 1 };
+    let waiting =
+        DemandLine { model: model("b"), adapter: None, arrived: 1, waiting: 1, oldest_ms: 0, priority: 1 };
+    GatewayReport {
+        gateway: gateway.into(),
+        demand: vec![waiting],
+        running: vec![running],
+        ..GatewayReport::default()
+    }
+}
+
+fn fleet(size: usize) -> DemandTable {
+    let mut demand = DemandTable::new(at(0));
+    for number in 0..size {
+        demand.heard(report(&format!("g{number:03}")), at(0));
+    }
+    demand
+}
+
+/// Guards against the calls and the waiting requests of a large fleet's gateways that are left out between two of their
+/// usual reports.
+#[rstest]
+#[case::small(8)]
+#[case::grown(85)]
+#[case::large(300)]
+fn what_a_gateway_told_counts_until_its_next_report(#[case] size: usize) {
+    let mut demand = fleet(size);
+    demand.refresh(at(report_pause_ms(size) + 200));
+    let count = size as u32;
+    assert_eq!(demand.running_at(&upstream("e1"), &model("a"), None), count);
+    assert_eq!(demand.running_beside(&[]), [(upstream("e1"), count)]);
+    assert_eq!(demand.get(&model("b")).map(|demand| demand.waiting), Some(count));
+}
+
+/// Guards against a model that makes way although a gateway that is only silent may still relay its streams, and against
+/// engines that look busy for as long because of a gateway that has died.
+#[rstest]
+#[case::small(8)]
+#[case::large(300)]
+fn the_calls_of_a_silent_gateway_keep_their_model(#[case] size: usize) {
+    let mut demand = fleet(size);
+    demand.refresh(at(10_000));
+    assert_eq!(demand.running_at(&upstream("e1"), &model("a"), None), size as u32);
+    assert!(demand.running_beside(&[]).is_empty());
+    assert_eq!(demand.get(&model("b")).map(|demand| demand.waiting), Some(0));
+    demand.refresh(at(30_000));
+    assert_eq!(demand.running_at(&upstream("e1"), &model("a"), None), 0);
+}
