views: a copy says which upstreams have vanished

Cause: a gateway keeps entries that vanished while the store was in trouble for a while, since they may come back. Its copy for a gateway that the store refuses named them like any other, and the version of the copy lies after their removal, so the receiver's feed never told it: an upstream that had left was in use again until a leader told everything. Change: a copy tells the held entries with their age, and they lapse at the receiver as they do at the sender. Test: what_vanished_is_not_sound_in_a_copy; without take_held the upstream is never forgotten (left: [], right: [e1]).

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -226,4 +226,7 @@
     pub operator_rows: Vec<CopiedRow>,
     /// Upstreams.
     pub upstreams: Vec<UpstreamEntry>,
+    /// Those of them whose entries vanished while the store was in trouble, with the time in ms since. They are gone
+    /// unless they come back.
+    pub held: Vec<(UpstreamId, u64)>,
 }
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -175,6 +175,22 @@
         }
     }
 
+    /// Upstreams whose entries vanished with the store's trouble, with the time in ms since.
+    pub fn held(&self, now: ClockTime) -> Vec<(UpstreamId, u64)> {
+        let held = |known: &KnownUpstream| Some((known.entry.id.clone(), now.since_ms(known.removed_at?)));
+        self.upstreams.iter().filter_map(held).collect()
+    }
+
+    /// Takes another gateway's word, given at `version`, on which entries have vanished. Without it a process that starts
+    /// with that gateway's copy would go on using upstreams that have left.
+    pub fn take_held(&mut self, held: &[(UpstreamId, u64)], version: u64, now: ClockTime) {
+        for (id, since_ms) in held {
+            if let Some(known) = self.get_mut(id).filter(|known| known.seen_version <= version) {
+                known.removed_at = known.removed_at.or(Some(now.minus_ms(*since_ms)));
+            }
+        }
+    }
+
     /// Forgets entries whose hold is over: it ends some time after the store's trouble, when entries that lapsed with it
     /// are back. An entry that goes later than that has not lapsed.
     pub fn expire(&mut self, trouble_until: Option<ClockTime>, now: ClockTime) -> Vec<UpstreamId> {
--- a/crates/cowslip-entry/tests/entry/book_cases.rs
+++ b/crates/cowslip-entry/tests/entry/book_cases.rs
@@ -2,7 +2,7 @@
 
 use cowslip_entry::{
     AdapterName, ColdLimit, LAPSE_HOLD_MS, ModelNeed, PickScope, RequestNeed, ServiceRule, StoreTrouble,
-    UpstreamBook, UpstreamPick, WaitCause,
+    UpstreamBook, UpstreamNews, UpstreamPick, WaitCause,
 };
 use cowslip_units::{DomainId, UpstreamId};
 use rstest::rstest;
@@ -135,6 +135,26 @@
     assert_eq!(scene.book.expire(Some(at(5_000)), at(5_000 + LAPSE_HOLD_MS)), vec![upstream("e1")]);
 }
 
+/// Guards against an upstream that has left and is in use again at a gateway that starts with another one's copy: what
+/// vanished there is held here as long as there, unless this gateway knows better.
+#[test]
+fn what_vanished_is_not_sound_in_a_copy() {
+    let mut telling = Scene::new().book;
+    telling.remove(&upstream("e1"), true, at(1_000));
+    telling.remove(&upstream("e2"), true, at(1_000));
+    let entries: Vec<_> =
+        telling.all().iter().map(|known| (known.entry.id.clone(), Some(known.entry.clone()))).collect();
+    let mut started = UpstreamBook::new();
+    let mut newer = entry("e2", "s", &["a"]);
+    newer.version = 9;
+    started.put(newer, at(1_900));
+    started.take_news(UpstreamNews { entries, version: 5, fresh: true }, 0, at(2_000));
+    started.take_held(&telling.held(at(2_000)), 5, at(2_000));
+    assert!(started.expire(None, at(1_000 + LAPSE_HOLD_MS - 1)).is_empty());
+    assert_eq!(started.expire(None, at(1_000 + LAPSE_HOLD_MS)), vec![upstream("e1")]);
+    assert!(started.get(&upstream("e2")).is_some(), "it came back in the meantime");
+}
+
 /// Guards against requests to an upstream that left after the store's trouble: only what lapsed is held.
 #[test]
 fn an_entry_that_goes_after_the_trouble_is_not_held_longer() {
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -362,6 +362,7 @@
         view: state.stamp(now),
         operator_rows: copied(&state.operator_rows),
         upstreams: state.book.all().iter().map(|known| known.entry.without_copies()).collect(),
+        held: state.book.held(now),
     }
 }
 
@@ -384,6 +385,7 @@
     let mut state = gateway.lock();
     if state.lead.is_none() {
         take_news(&mut state, upstreams, true, &copy.view, asked_at, gateway.now());
+        state.book.take_held(&copy.held, copy.view.upstream_version, gateway.now());
     }
 }
 
