gateway: copies of answers, answers without end, stalled streams, sends after a pause

The id was compared only after the refusal's mark. Interim answers without end kept the one thread from all other requests for 4 s. - A caller's body that trickles in held its request for ever. - Key, route, lease and the upstream's state were checked before the connection was made, which takes up to 400 ms, and more of the process is suspended meanwhile. Change: the id first; a refused attempt never goes on its connection again; time-outs count to whole events; bodies are bounded in bytes and time; more than 16 interim answers close the connection; the pool asks whether it may send once it has a connection. Ruled out as faults here: copies of answers (late, at once, streams, 40 callers side by side), heads and lines without end, trickled heads, comments without end, callers that send without end, slow sound streams, requests sent behind each other: these passed before. The paused process passes also without the new check, because the time-out of the connection wins on Linux; the check itself is tested in upstream_pool.rs.

--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -45,6 +45,8 @@
     Failure(Response<AnswerBody>),
     /// Nothing was written.
     NotSent,
+    /// Nothing was written, because what allowed the send no longer held.
+    Withheld,
     /// The upstream said that it did not run it; true when it does not hold the model or is another one.
     NotRun(bool),
     /// It may have run and has no answer.
@@ -57,6 +59,7 @@
             Self::Answered(_) => "answered",
             Self::Failure(_) => "failure",
             Self::NotSent => "not_sent",
+            Self::Withheld => "withheld",
             Self::NotRun(true) => "misplaced",
             Self::NotRun(false) => "not_run",
             Self::Lost(_) => "lost",
@@ -169,6 +172,7 @@
         if let Some(response) = settle(gateway, context, &admitted, &mut flight, &chosen, outcome)? {
             return Ok(response);
         }
+        admitted = admit_again(gateway, context, &flight)?;
     }
 }
 
@@ -250,14 +254,19 @@
         };
         // A wake-up that comes too late only means another look.
         let _ = timeout(Duration::from_millis(look_ms), notified).await;
-        admitted = match admit(gateway, context) {
-            Ok(admitted) => admitted,
-            Err(_) if flight.runs > 0 => return Err(refusal_after(flight)),
-            Err(refusal) => return Err(refusal),
-        };
+        admitted = admit_again(gateway, context, flight)?;
     }
 }
 
+/// Checks a request against the view of this moment, after a wait or a send.
+fn admit_again(
+    gateway: &Gateway,
+    context: &RequestContext,
+    flight: &RequestFlight,
+) -> Result<AdmittedRequest, RequestRefusal> {
+    admit(gateway, context).map_err(|refusal| if flight.runs > 0 { refusal_after(flight) } else { refusal })
+}
+
 /// The refusal of a request that can not be sent any more: one that may have run is not promised to be unrun.
 fn refusal_after(flight: &RequestFlight) -> RequestRefusal {
     RequestRefusal::new(if flight.runs > 0 { ErrorKind::UpstreamFailed } else { ErrorKind::NoCapacity })
@@ -365,6 +374,12 @@
             flight.unreached += 1;
             if flight.unreached > MAX_UNREACHED { Err(refusal_after(flight)) } else { Ok(None) }
         }
+        SendOutcome::Withheld => {
+            if let Some(known) = gateway.lock().book.get_mut(upstream) {
+                known.breaker.undecided(now);
+            }
+            Ok(None)
+        }
         SendOutcome::NotRun(misplaced) => {
             not_run(gateway, flight, upstream, misplaced, now);
             flight.refused += 1;
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub use cowslip_runtime::SharedBudget;
 pub use gateway_log::{LINES_PER_S, LineBudget, gateway_logger};
 pub use gateway_process::run_gateway;
+pub use upstream_pool::{SendFault, UpstreamConnection, UpstreamPool};
 
 /// Gateways assumed while no leader has told how many there are.
 pub(crate) const FALLBACK_MEMBERS: usize = 12;
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -17,7 +17,7 @@
 use crate::answer_body::AnswerBody;
 use crate::dispatch::{CallGuard, RequestFlight, SendOutcome};
 use crate::gateway_state::Gateway;
-use crate::request_context::{AdmittedRequest, RequestContext};
+use crate::request_context::{AdmittedRequest, RequestContext, may_send};
 use crate::upstream_pool::{SendFault, UpstreamConnection};
 use crate::upstream_request::upstream_request;
 
@@ -38,22 +38,21 @@
     Foreign,
 }
 
-/// Checks the head of an answer.
+/// Checks the head of an answer. One that names another attempt is a copy of an earlier answer, and says nothing of
+/// this request, not even that it did not run.
 pub(crate) fn check_head(context: &RequestContext, status: StatusCode, headers: &HeaderMap) -> HeadCheck {
+    let echoed = headers.get(ATTEMPT_ID).map(|value| value.as_bytes());
+    if echoed.is_some_and(|echoed| echoed != context.caller.attempt.as_bytes()) {
+        return HeadCheck::Foreign;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return HeadCheck::NotRun(true);
     }
     if headers.contains_key(NOT_RUN) {
         return HeadCheck::NotRun(false);
     }
-    let echoed = headers.get(ATTEMPT_ID).map(|value| value.as_bytes());
-    let own = echoed.is_none_or(|echoed| echoed == context.caller.attempt.as_bytes());
     let sealed = headers.contains_key(SEAL);
-    if own && sealed && !headers.contains_key(CONTENT_ENCODING) {
-        HeadCheck::Sound
-    } else {
-        HeadCheck::Foreign
-    }
+    if sealed && !headers.contains_key(CONTENT_ENCODING) { HeadCheck::Sound } else { HeadCheck::Foreign }
 }
 
 /// Makes a plain call.
@@ -77,54 +76,75 @@
     let patience_ms = (admitted.route.objective_ms as f64 * PATIENCE_FACTOR) as u64;
     let wait_ms = if again { end_ms.min(patience_ms) } else { end_ms };
     let call = async {
-        let (response, connection) = gateway.pool.send(address, request).await?;
+        let allowed = || may_send(gateway, context, upstream, sent_at);
+        let (response, connection) = gateway.pool.send(address, request, allowed).await?;
         let first_ms = gateway.now().since_ms(sent_at);
         let (parts, body) = response.into_parts();
-        match read_whole(body).await {
-            Ok(body) => Ok((parts, body, connection, first_ms)),
-            Err(message) => Err(SendFault::Broken(message)),
-        }
+        Ok(match check_head(context, parts.status, &parts.headers) {
+            HeadCheck::NotRun(misplaced) => {
+                refused(gateway, connection, body, &parts.headers, context).await;
+                SendOutcome::NotRun(misplaced)
+            }
+            HeadCheck::Foreign => SendOutcome::Lost(ErrorKind::UpstreamGarbled),
+            HeadCheck::Sound => {
+                let body = read_whole(body).await.map_err(SendFault::Broken)?;
+                note_answer(gateway, upstream, parts.status, &parts.headers, first_ms);
+                put_back(gateway, connection, &parts.headers);
+                let failed = parts.status.is_server_error();
+                let response = caller_answer(parts.status, &parts.headers, AnswerBody::whole(body));
+                if failed { SendOutcome::Failure(response) } else { SendOutcome::Answered(response) }
+            }
+        })
     };
     let outcome = timeout(Duration::from_millis(wait_ms), call).await;
     drop(guard);
-    let (parts, body, connection, first_ms) = match outcome {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(SendFault::NotSent(_))) => return SendOutcome::NotSent,
-        Ok(Err(SendFault::Broken(_))) => return SendOutcome::Lost(ErrorKind::UpstreamFailed),
-        Err(_) => return SendOutcome::Lost(ErrorKind::DeadlineExceeded),
-    };
-    let check = check_head(context, parts.status, &parts.headers);
-    match check {
-        HeadCheck::NotRun(misplaced) => {
-            put_back(gateway, connection, &parts.headers);
-            SendOutcome::NotRun(misplaced)
-        }
-        HeadCheck::Foreign => {
-            connection.close();
-            SendOutcome::Lost(ErrorKind::UpstreamGarbled)
-        }
-        HeadCheck::Sound => {
-            note_answer(gateway, upstream, parts.status, &parts.headers, first_ms);
-            put_back(gateway, connection, &parts.headers);
-            let failed = parts.status.is_server_error();
-            let response = caller_answer(parts.status, &parts.headers, AnswerBody::whole(body));
-            if failed { SendOutcome::Failure(response) } else { SendOutcome::Answered(response) }
-        }
+    match outcome {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(fault)) => unanswered(&fault),
+        Err(_) => SendOutcome::Lost(ErrorKind::DeadlineExceeded),
     }
 }
 
-async fn read_whole(body: Incoming) -> Result<Bytes, String> {
+/// What a send without an answer means for its request.
+pub(crate) const fn unanswered(fault: &SendFault) -> SendOutcome {
+    match fault {
+        SendFault::NotSent(_) => SendOutcome::NotSent,
+        SendFault::Withheld => SendOutcome::Withheld,
+        SendFault::Broken(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
+    }
+}
+
+/// Reads an answer of at most [`MAX_ANSWER_BYTES`] to its end.
+pub(crate) async fn read_whole(body: Incoming) -> Result<Bytes, String> {
     match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) => Err(error.to_string()),
     }
 }
 
+/// Returns the connection of a refused attempt to the pool, unless the upstream closes it.
+pub(crate) async fn refused(
+    gateway: &Gateway,
+    connection: UpstreamConnection,
+    body: Incoming,
+    headers: &HeaderMap,
+    context: &RequestContext,
+) {
+    if closes(headers) {
+        connection.close();
+        return;
+    }
+    let attempt = context.headers.get(ATTEMPT_ID);
+    gateway.pool.put_back_refused(connection, body, attempt, keep_alive_s(headers)).await;
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    headers.get("connection").is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 /// Returns a connection to the pool unless the upstream closes it.
 pub(crate) fn put_back(gateway: &Gateway, connection: UpstreamConnection, headers: &HeaderMap) {
-    let closes =
-        headers.get("connection").is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    if closes {
+    if closes(headers) {
         connection.close();
     } else {
         gateway.pool.put_back(connection, keep_alive_s(headers));
--- a/crates/cowslip-gateway/src/plan_duty.rs
+++ b/crates/cowslip-gateway/src/plan_duty.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cowslip_adapter::header_names::EXPECT_UPSTREAM;
+use cowslip_adapter::header_names::{ATTEMPT_ID, EXPECT_UPSTREAM};
 use cowslip_adapter::{ORDER_PATH, REPORT_PATH, engine_status, order_answer, order_body};
 use cowslip_entry::{EngineOrder, EngineStatus, OrderAnswer, PlanStep, UpstreamEntry};
 use cowslip_units::{FenceNumber, UpstreamId};
@@ -158,20 +158,19 @@
         .header(EXPECT_UPSTREAM, order.upstream.as_str())
         .body(Full::new(Bytes::from(body)));
     let Ok(request) = request else { return OrderAnswer::Refused };
-    if !leads_now(gateway, fence) {
-        return OrderAnswer::NotSent;
-    }
     let call = async {
-        match gateway.pool.send(order.address, request).await {
+        match gateway.pool.send(order.address, request, || leads_now(gateway, fence)).await {
+            // A copy of the answer to a request that the connection carried before.
+            Ok((response, _)) if response.headers().contains_key(ATTEMPT_ID) => OrderAnswer::InDoubt,
             Ok((response, connection)) => {
                 let status = response.status().as_u16();
                 let keep = cowslip_adapter::keep_alive_s(response.headers());
-                if response.into_body().collect().await.is_ok() {
+                if Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.is_ok() {
                     gateway.pool.put_back(connection, keep);
                 }
                 order_answer(status)
             }
-            Err(SendFault::NotSent(_)) => OrderAnswer::NotSent,
+            Err(SendFault::NotSent(_) | SendFault::Withheld) => OrderAnswer::NotSent,
             Err(SendFault::Broken(_)) => OrderAnswer::InDoubt,
         }
     };
@@ -186,11 +185,13 @@
         .body(Full::new(Bytes::new()))
         .ok()?;
     let call = async {
-        let (response, connection) = gateway.pool.send(address, request).await.ok()?;
-        let ok = response.status().is_success();
+        let (response, connection) = gateway.pool.send(address, request, || true).await.ok()?;
+        let ok = response.status().is_success() && !response.headers().contains_key(ATTEMPT_ID);
         let keep = cowslip_adapter::keep_alive_s(response.headers());
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
-        gateway.pool.put_back(connection, keep);
+        if ok {
+            gateway.pool.put_back(connection, keep);
+        }
         ok.then_some(body)
     };
     let body = timeout(Duration::from_millis(ENGINE_MS), call).await.ok()??;
--- a/crates/cowslip-gateway/src/request_context.rs
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cowslip_adapter::CallerHeaders;
 use cowslip_entry::{FleetConfig, RouteRule, TeamRule};
-use cowslip_units::{ClockTime, ErrorKind};
+use cowslip_units::{ClockTime, ErrorKind, UpstreamId};
 use http::{HeaderMap, Method};
 use smol_str::SmolStr;
 
@@ -18,6 +18,9 @@
 /// Age in ms of the view from which an unknown key or route may be one that came since.
 const OLD_VIEW_MS: u64 = 2_000;
 
+/// Time in ms for which a check before a send holds while the connection is made.
+const CHECK_HOLDS_MS: u64 = 50;
+
 /// A request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestContext {
@@ -84,3 +87,22 @@
     };
     Ok(AdmittedRequest { config, route, team })
 }
+
+/// True when a request that was checked at `checked_at` may still be sent to an upstream. A connection takes time to be
+/// made, and the process may have been suspended meanwhile.
+pub(crate) fn may_send(
+    gateway: &Gateway,
+    context: &RequestContext,
+    upstream: &UpstreamId,
+    checked_at: ClockTime,
+) -> bool {
+    if gateway.now().since_ms(checked_at) < CHECK_HOLDS_MS {
+        return true;
+    }
+    let stays = {
+        let state = gateway.lock();
+        let entry = state.book.get(upstream).map(|known| &known.entry);
+        entry.is_some_and(|entry| !entry.draining && !state.evacuated.contains(&entry.domain))
+    };
+    stays && admit(gateway, context).is_ok()
+}
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -93,7 +93,9 @@
         arrived_at,
     };
     let limits = gateway.lock().view.config().map(|config| config.limits()).unwrap_or_default();
-    context.body = read_body(body, limits.body_bytes).await?;
+    let body_ms = context.caller.deadline_ms.unwrap_or(limits.idle_ms);
+    let body = timeout(Duration::from_millis(body_ms), read_body(body, limits.body_bytes)).await;
+    context.body = body.unwrap_or(Err(RequestRefusal::new(ErrorKind::ReadTimeout)))?;
     let admitted = admit(gateway, &context)?;
     let limit = WaitLimit::new(&admitted.route, context.caller.deadline_ms, arrived_at);
     let charge = match &admitted.team {
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -19,9 +19,11 @@
 use crate::answer_body::{AnswerBody, CutOff};
 use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, choose, may_repeat};
 use crate::gateway_state::Gateway;
-use crate::plain_call::{HeadCheck, caller_answer, check_head, note_answer, put_back};
-use crate::request_context::{AdmittedRequest, RequestContext, admit};
-use crate::upstream_pool::{SendFault, UpstreamConnection};
+use crate::plain_call::{
+    HeadCheck, caller_answer, check_head, note_answer, put_back, read_whole, refused, unanswered,
+};
+use crate::request_context::{AdmittedRequest, RequestContext, admit, may_send};
+use crate::upstream_pool::UpstreamConnection;
 use crate::upstream_request::upstream_request;
 
 /// Pieces that wait for a slow caller at most.
@@ -33,6 +35,9 @@
 /// Silence in ms in a stream after which it is resumed elsewhere, where that is allowed.
 const SILENCE_MS: u64 = 1_200;
 
+/// Time in ms beyond the end of a request's time for events that are ready by then.
+const READY_MS: u64 = 300;
+
 /// A first event is awaited for so many times the objective, where the request may be repeated.
 const FIRST_FACTOR: u64 = 2;
 
@@ -63,23 +68,30 @@
 }
 
 impl EventSource {
-    /// The next whole events, waiting at most `wait_ms` for each piece.
+    /// The next whole events, waiting at most `wait_ms` for them: bytes of an event that never becomes whole are no
+    /// progress.
     async fn next(&mut self, wait_ms: u64) -> NextEvents {
+        let next = timeout(Duration::from_millis(wait_ms), self.read_events()).await;
+        next.unwrap_or(NextEvents::Broken("silent"))
+    }
+
+    async fn read_events(&mut self) -> NextEvents {
         loop {
-            let frame = match timeout(Duration::from_millis(wait_ms), self.body.frame()).await {
-                Err(_) => return NextEvents::Broken("silent"),
-                Ok(Some(Err(_))) => return NextEvents::Broken("broken"),
-                Ok(None) if self.partial.is_empty() => return NextEvents::End,
-                Ok(None) => return NextEvents::Broken("partial"),
-                Ok(Some(Ok(frame))) => frame,
+            let frame = match self.body.frame().await {
+                Some(Err(_)) => return NextEvents::Broken("broken"),
+                None if self.partial.is_empty() => return NextEvents::End,
+                None => return NextEvents::Broken("partial"),
+                Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else { continue };
+            // What was there before has no end of an event in it, but perhaps the first byte of one.
+            let known = self.partial.len().saturating_sub(1);
             self.partial.extend_from_slice(&data);
             if self.partial.len() > MAX_EVENT_BYTES {
                 return NextEvents::Broken("too long");
             }
-            if let Some(end) = last_event_end(&self.partial) {
-                return NextEvents::Events(self.partial.split_to(end).freeze());
+            if let Some(end) = self.partial.get(known..).and_then(last_event_end) {
+                return NextEvents::Events(self.partial.split_to(known + end).freeze());
             }
         }
     }
@@ -129,7 +141,9 @@
     };
     let first_ms = gateway.now().since_ms(sent_at);
     if !source.status.is_success() {
-        return failed_answer(gateway, source, first_ms).await;
+        let left_ms = flight.limit.end_by.since_ms(gateway.now());
+        let read = timeout(Duration::from_millis(left_ms), failed_answer(gateway, source, first_ms)).await;
+        return read.unwrap_or(SendOutcome::Lost(ErrorKind::DeadlineExceeded));
     }
     match first {
         NextEvents::Events(events) => {
@@ -186,17 +200,13 @@
     let last_event = flight.last_event.as_deref();
     let request = upstream_request(context, admitted, &flight.limit, upstream, last_event, now);
     let request = request.map_err(|_| SendOutcome::NotSent)?;
-    let (response, connection) = match gateway.pool.send(address, request).await {
-        Ok(answer) => answer,
-        Err(SendFault::NotSent(_)) => return Err(SendOutcome::NotSent),
-        Err(SendFault::Broken(_)) => return Err(SendOutcome::Lost(ErrorKind::UpstreamFailed)),
-    };
+    let allowed = || may_send(gateway, context, upstream, now);
+    let sent = gateway.pool.send(address, request, allowed).await;
+    let (response, connection) = sent.map_err(|fault| unanswered(&fault))?;
     let (parts, body) = response.into_parts();
     match check_head(context, parts.status, &parts.headers) {
         HeadCheck::NotRun(misplaced) => {
-            if body.collect().await.is_ok() {
-                put_back(gateway, connection, &parts.headers);
-            }
+            refused(gateway, connection, body, &parts.headers, context).await;
             Err(SendOutcome::NotRun(misplaced))
         }
         HeadCheck::Foreign => {
@@ -220,10 +230,10 @@
     let EventSource { upstream, headers, status, body, connection, guard, .. } = source;
     drop(guard);
     note_answer(gateway, &upstream, status, &headers, first_ms);
-    match body.collect().await {
+    match read_whole(body).await {
         Ok(body) => {
             put_back(gateway, connection, &headers);
-            SendOutcome::Failure(caller_answer(status, &headers, AnswerBody::whole(body.to_bytes())))
+            SendOutcome::Failure(caller_answer(status, &headers, AnswerBody::whole(body)))
         }
         Err(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
     }
@@ -265,6 +275,11 @@
                 return;
             }
             events = loop {
+                if self.is_over() {
+                    // Events that are always ready would go on for as long as the upstream sends them.
+                    self.cut("over").await;
+                    return;
+                }
                 match source.next(self.wait_ms()).await {
                     NextEvents::Events(events) => break events,
                     NextEvents::End => {
@@ -274,8 +289,7 @@
                     NextEvents::Broken(why) => match self.resume(source, why).await {
                         Some(next) => source = next,
                         None => {
-                            // The caller sees that its answer is not complete.
-                            drop(self.sender.send(Err(CutOff)).await);
+                            self.cut("not resumed").await;
                             return;
                         }
                     },
@@ -284,7 +298,21 @@
         }
     }
 
-    /// How long the next piece is awaited.
+    /// Ends the answer so that the caller sees that it is not complete.
+    async fn cut(&self, why: &'static str) {
+        if self.gateway.may_log() {
+            warn!(self.gateway.logger, "stream_cut"; "request" => %self.context.caller.attempt, "why" => why);
+        }
+        // A caller that has left needs no sign.
+        drop(self.sender.send(Err(CutOff)).await);
+    }
+
+    /// True when the request's time is over for events that are ready, too.
+    fn is_over(&self) -> bool {
+        self.gateway.now() >= self.flight.limit.end_by.plus_ms(READY_MS)
+    }
+
+    /// How long the next events are awaited.
     fn wait_ms(&self) -> u64 {
         let left_ms = self.flight.limit.end_by.since_ms(self.gateway.now());
         let again = self.admitted.route.repeatable() && self.flight.runs < self.admitted.route.max_attempts;
@@ -342,6 +370,7 @@
                         known.unreachable(gateway.clock.now());
                     }
                 }
+                Err(SendOutcome::Withheld) => {}
                 Ok(_) | Err(_) => return None,
             }
         }
--- a/crates/cowslip-gateway/src/upstream_pool.rs
+++ b/crates/cowslip-gateway/src/upstream_pool.rs
@@ -1,18 +1,24 @@
 //! Connections to upstreams.
 //!
 //! Each connection carries one request at a time. Nothing is sent twice here: a request that was not written comes
-//! back to the caller as such, anything else may have run.
+//! back to the caller as such, anything else may have run. Whether a request may be sent is asked when its connection is
+//! there, because making one takes time, and the process may have been suspended meanwhile.
+//!
+//! An upstream may send a copy of an earlier answer. The attempt's id tells it from the answer that is awaited, but not
+//! where the same attempt is sent once more: a connection on which an attempt was refused never carries it again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use cowslip_adapter::header_names::ATTEMPT_ID;
 use cowslip_runtime::ProcessClock;
 use cowslip_units::ClockTime;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -33,12 +39,30 @@
 /// Idle connections kept to one upstream.
 const MAX_IDLE: usize = 16;
 
+/// Refusals after which a connection is closed, so that what it remembers stays small.
+const MAX_REFUSED: usize = 16;
+
+/// Interim answers to one request before its connection is closed.
+const MAX_INTERIM: u32 = 16;
+
+/// Bytes read from a connection at a time; also the longest head of an answer.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Longest body of a refusal in bytes that is read to keep its connection.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+
+/// Time in ms for the body of a refusal; its head has said all that counts.
+const REFUSAL_MS: u64 = 100;
+
 /// Why a send has no answer.
 #[derive(Debug, Error)]
-pub(crate) enum SendFault {
+pub enum SendFault {
     /// Nothing of the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing was sent, because it may not be sent any more.
+    #[error("withheld")]
+    Withheld,
     /// The connection broke; the request may have run.
     #[error("broken: {0}")]
     Broken(String),
@@ -56,10 +80,12 @@
 
 /// A connection in use.
 #[derive(Debug)]
-pub(crate) struct UpstreamConnection {
+pub struct UpstreamConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: ConnectionTask,
+    /// Ids of the attempts that were refused on it.
+    refused: Vec<HeaderValue>,
 }
 
 #[derive(Debug)]
@@ -70,36 +96,46 @@
 
 /// Idle connections by address.
 #[derive(Clone, Debug)]
-pub(crate) struct UpstreamPool {
+pub struct UpstreamPool {
     clock: ProcessClock,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
 impl UpstreamPool {
     /// An empty pool.
-    pub(crate) fn new(clock: ProcessClock) -> Self {
+    pub fn new(clock: ProcessClock) -> Self {
         Self { clock, idle: Arc::default() }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
+    /// An idle connection on which the attempt was not refused.
+    fn take_idle(&self, address: SocketAddr, attempt: Option<&HeaderValue>) -> Option<UpstreamConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|idle| idle.until > now && idle.connection.sender.is_ready());
-        connections.pop().map(|idle| idle.connection)
+        let refused =
+            |idle: &IdleConnection| attempt.is_some_and(|attempt| idle.connection.refused.contains(attempt));
+        let at = connections.iter().rposition(|idle| !refused(idle))?;
+        Some(connections.swap_remove(at).connection)
     }
 
-    /// Sends a request over an idle connection or a new one.
+    /// Sends a request over an idle connection or a new one, if `may_send` allows it once the connection is there.
     ///
     /// # Errors
     /// [`SendFault`] when no answer began.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), SendFault> {
         let mut request = request;
-        if let Some(mut connection) = self.take_idle(address) {
+        let attempt = request.headers().get(ATTEMPT_ID).cloned();
+        if let Some(mut connection) = self.take_idle(address, attempt.as_ref()) {
+            if !may_send() {
+                return Err(SendFault::Withheld);
+            }
+            connection.bound_interim(&mut request);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -110,6 +146,10 @@
             }
         }
         let mut connection = self.connect(address).await?;
+        if !may_send() {
+            return Err(SendFault::Withheld);
+        }
+        connection.bound_interim(&mut request);
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => {
@@ -127,17 +167,18 @@
             Err(_) => return Err(SendFault::NotSent("no connection in time".to_owned())),
         };
         stream.set_nodelay(true).map_err(|error| SendFault::NotSent(error.to_string()))?;
-        let made = http1::handshake(TokioIo::new(stream)).await;
+        let made = http1::Builder::new().max_buf_size(READ_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = made.map_err(|error| SendFault::NotSent(error.to_string()))?;
         let task = tokio::spawn(async move {
             // The sender learns of the failure from its own call.
             drop(connection.await);
         });
-        Ok(UpstreamConnection { address, sender, task: ConnectionTask(task.abort_handle()) })
+        let task = ConnectionTask(task.abort_handle());
+        Ok(UpstreamConnection { address, sender, task, refused: Vec::new() })
     }
 
     /// Keeps a connection whose answer was read to its end. `keep_alive_s` is the time for which the upstream keeps it.
-    pub(crate) fn put_back(&self, connection: UpstreamConnection, keep_alive_s: Option<u64>) {
+    pub fn put_back(&self, connection: UpstreamConnection, keep_alive_s: Option<u64>) {
         let told_ms = keep_alive_s.map_or(u64::MAX, |seconds| seconds.saturating_mul(1_000));
         let keep_ms = IDLE_MS.min(told_ms.saturating_sub(CLOSE_MARGIN_MS));
         if keep_ms == 0 || connection.sender.is_closed() {
@@ -151,6 +192,24 @@
         }
     }
 
+    /// Keeps a connection on which an upstream refused an attempt, if the rest of its answer is short.
+    pub async fn put_back_refused(
+        &self,
+        mut connection: UpstreamConnection,
+        body: Incoming,
+        attempt: Option<&HeaderValue>,
+        keep_alive_s: Option<u64>,
+    ) {
+        connection.refused.extend(attempt.cloned());
+        if connection.refused.len() >= MAX_REFUSED {
+            return;
+        }
+        let read = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        if timeout(Duration::from_millis(REFUSAL_MS), read).await.is_ok_and(|read| read.is_ok()) {
+            self.put_back(connection, keep_alive_s);
+        }
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn close_idle(&self) {
         let now = self.clock.now();
@@ -163,6 +222,18 @@
 }
 
 impl UpstreamConnection {
+    /// Closes the connection when interim answers to the request do not end: the library would read on for ever, and
+    /// keep the thread from other work.
+    fn bound_interim(&self, request: &mut Request<Full<Bytes>>) {
+        let task = self.task.0.clone();
+        let count = AtomicU32::new(0);
+        hyper::ext::on_informational(request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM {
+                task.abort();
+            }
+        });
+    }
+
     /// Closes the connection at once.
     pub(crate) fn close(self) {
         drop(self.task);
--- /dev/null
+++ b/crates/cowslip-gateway/tests/upstream_pool.rs
@@ -0,0 +1,73 @@
+//! Connections to upstreams: what may be sent on which, and when.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cowslip_adapter::header_names::ATTEMPT_ID;
+use cowslip_adapter_standins::{RawConduct, RawUpstream};
+use cowslip_gateway::{SendFault, UpstreamPool};
+use cowslip_runtime::ProcessClock;
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, Full};
+use rstest::rstest;
+
+fn request(id: &str) -> Request<Full<Bytes>> {
+    Request::get("/lookup/1")
+        .header("host", "a.example")
+        .header(ATTEMPT_ID, id)
+        .body(Full::new(Bytes::new()))
+        .expect("request")
+}
+
+/// Sends a request, reads its answer, and gives the connection back.
+async fn answered(pool: &UpstreamPool, address: SocketAddr, id: &str) {
+    let (response, connection) = pool.send(address, request(id), || true).await.expect("answer");
+    response.into_body().collect().await.expect("body");
+    pool.put_back(connection, None);
+}
+
+/// Guards against a request that is sent although what allowed it ran out while its connection was made, or was taken
+/// from the idle ones.
+#[rstest]
+#[case::new_connection(false)]
+#[case::idle_connection(true)]
+#[tokio::test]
+async fn a_request_that_is_not_allowed_any_more_is_not_sent(#[case] idle: bool) {
+    let upstream = RawUpstream::start("u", "", RawConduct::Sound).await.expect("upstream");
+    let pool = UpstreamPool::new(ProcessClock::new());
+    if idle {
+        answered(&pool, upstream.address, "before").await;
+    }
+    let asked = Cell::new(0);
+    let outcome = pool
+        .send(upstream.address, request("id-1"), || {
+            asked.set(asked.get() + 1);
+            false
+        })
+        .await;
+    assert!(matches!(outcome, Err(SendFault::Withheld)), "{outcome:?}");
+    assert_eq!(asked.get(), 1);
+    answered(&pool, upstream.address, "after").await;
+    assert!(!upstream.seen().contains(&"id-1".to_owned()));
+}
+
+/// Guards against a refused attempt that is sent again on its connection, where a copy of the refusal would be taken for
+/// the answer; other attempts use the connection.
+#[tokio::test]
+async fn a_refused_attempt_goes_to_another_connection() {
+    let upstream = RawUpstream::start("u", "", RawConduct::CopiesRefusal).await.expect("upstream");
+    let pool = UpstreamPool::new(ProcessClock::new());
+    let attempt = HeaderValue::from_static("id-1");
+    let (response, connection) =
+        pool.send(upstream.address, request("id-1"), || true).await.expect("refusal");
+    assert_eq!(response.status().as_u16(), 503);
+    pool.put_back_refused(connection, response.into_body(), Some(&attempt), None).await;
+    let (response, connection) = pool.send(upstream.address, request("id-1"), || true).await.expect("answer");
+    assert_eq!(response.status().as_u16(), 200, "a copy of the refusal was taken for the answer");
+    drop(connection);
+    upstream.set_conduct(RawConduct::Sound);
+    let connections = upstream.connections();
+    answered(&pool, upstream.address, "id-2").await;
+    assert_eq!(upstream.connections(), connections, "the connection was not used again");
+}
--- a/crates/cowslip-platform/src/http_caller.rs
+++ b/crates/cowslip-platform/src/http_caller.rs
@@ -16,7 +16,7 @@
 
 use crate::PlatformError;
 
-/// Largest accepted answer in bytes.
+/// Largest accepted answer in bytes, unless a caller sets less.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Idle connections are closed after this time in seconds, before common servers close them from their side.
@@ -53,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpCaller {
     client: Client<HttpConnector, Full<Bytes>>,
+    max_answer_bytes: usize,
 }
 
 /// A failed attempt.
@@ -73,7 +74,14 @@
             .pool_idle_timeout(Duration::from_secs(IDLE_SECONDS))
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client }
+        Self { client, max_answer_bytes: MAX_ANSWER_BYTES }
+    }
+
+    /// Sets the largest accepted answer in bytes.
+    #[must_use]
+    pub const fn with_max_answer_bytes(mut self, bytes: usize) -> Self {
+        self.max_answer_bytes = bytes;
+        self
     }
 
     /// Makes the call and returns status and body when the service carried it out (2xx) or answered 404.
@@ -136,7 +144,7 @@
             }
         };
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = Limited::new(response.into_body(), self.max_answer_bytes);
         let body = match timeout_at(deadline, body.collect()).await {
             Ok(Ok(collected)) => collected.to_bytes(),
             Ok(Err(error)) => return Err(FailedAttempt::connection(error.to_string())),
