gateway: a slow answer is given up only where another upstream takes the request

Cause: an idempotent call, and a stream that may be resumed, were given up after 1.5 or 2 times their objective, or 1.2 s of silence, and only then the budget of repeats was asked. A stream that broke off later than the patience for its first event was not resumed at all. Change: at the end of the patience the gateway looks for an upstream that takes the request and for a repeat in its budget, and waits on without them. A stream that has begun may be resumed until its end.

--- a/crates/cowslip-entry/src/repeat_budget.rs
+++ b/crates/cowslip-entry/src/repeat_budget.rs
@@ -55,10 +55,15 @@
         self.saved = (self.saved + earned).min(Self::cap(limit, members));
     }
 
+    /// True when one repeat could be taken.
+    pub fn allows(&mut self, limit: RepeatLimit, members: usize, now: ClockTime) -> bool {
+        self.earn(limit, members, now);
+        self.saved >= MILLI
+    }
+
     /// Takes one repeat; false when the budget does not allow it.
     pub fn take(&mut self, limit: RepeatLimit, members: usize, now: ClockTime) -> bool {
-        self.earn(limit, members, now);
-        if self.saved < MILLI {
+        if !self.allows(limit, members, now) {
             return false;
         }
         self.saved -= MILLI;
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -250,6 +250,10 @@
         }
         let look_ms = match cause {
             WaitCause::Cold(wait_ms) => wait_ms.clamp(1, LOOK_MS),
+            WaitCause::NoModel | WaitCause::NoAdapter => {
+                let next = gateway.lock().book.next_place_ms(&flight.need, now);
+                next.map_or(LOOK_MS, |wait_ms| wait_ms.clamp(1, LOOK_MS))
+            }
             _ => LOOK_MS,
         };
         // A wake-up that comes too late only means another look.
@@ -300,9 +304,7 @@
     if state.set_unplaced(ticket, unplaced) {
         gateway.report_now.notify_one();
     }
-    let model = flight.need.model.as_ref().map(|need| &need.model);
-    let arrival =
-        state.arrivals.iter().filter(|line| Some(&line.model) == model).map(|line| line.wait_ms).min();
+    let arrival = flight.need.model.as_ref().and_then(|need| state.coming_ms(&need.model, false, now));
     drop(state);
     let wait_ms = match cause {
         WaitCause::NoModel => arrival.unwrap_or(0),
@@ -440,6 +442,31 @@
         && take_repeat(gateway, flight, now)
 }
 
+/// True when a request whose answer is slow should be given up for another upstream: there is one that takes it, and the
+/// budget allows it. A slow answer is worth more than none. `runs` counts the run in hand.
+pub(crate) fn has_alternative(
+    gateway: &Gateway,
+    admitted: &AdmittedRequest,
+    flight: &RequestFlight,
+    runs: u32,
+    slow: &UpstreamId,
+) -> bool {
+    let now = gateway.now();
+    let allowed =
+        admitted.route.repeatable() && runs < admitted.route.max_attempts && now < flight.limit.give_up_at();
+    let Some(service) = admitted.config.service(&flight.need.service) else { return false };
+    let mut tried = flight.tried.clone();
+    tried.push(slow.clone());
+    let mut state = gateway.lock();
+    let members = state.member_count();
+    let budget = state.repeat_budget(&flight.need.service, now);
+    if !allowed || !budget.allows(gateway.settings.repeats, members, now) {
+        return false;
+    }
+    let pick = state.pick(&gateway.settings, service, &flight.need, &tried, now);
+    matches!(pick, UpstreamPick::Send(other) if !tried.contains(&other))
+}
+
 fn take_repeat(gateway: &Gateway, flight: &RequestFlight, now: ClockTime) -> bool {
     let mut state = gateway.lock();
     let members = state.member_count();
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -1,5 +1,6 @@
 //! One call whose answer is read whole, checked, and passed on unchanged.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::answer_body::AnswerBody;
-use crate::dispatch::{CallGuard, RequestFlight, SendOutcome};
+use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, has_alternative};
 use crate::gateway_state::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext, may_send};
 use crate::upstream_pool::{SendFault, UpstreamConnection};
@@ -96,15 +97,33 @@
             }
         })
     };
-    let outcome = timeout(Duration::from_millis(wait_ms), call).await;
+    let gives_up = || has_alternative(gateway, admitted, flight, flight.runs + 1, upstream);
+    let outcome = with_patience(call, wait_ms, end_ms, gives_up).await;
     drop(guard);
     match outcome {
-        Ok(Ok(outcome)) => outcome,
-        Ok(Err(fault)) => unanswered(&fault),
-        Err(_) => SendOutcome::Lost(ErrorKind::DeadlineExceeded),
+        Some(Ok(outcome)) => outcome,
+        Some(Err(fault)) => unanswered(&fault),
+        None => SendOutcome::Lost(ErrorKind::DeadlineExceeded),
     }
 }
 
+/// Waits for an answer for `patience_ms`, and then, unless `gives_up`, until `end_ms`.
+pub(crate) async fn with_patience<T>(
+    answer: impl Future<Output = T>,
+    patience_ms: u64,
+    end_ms: u64,
+    gives_up: impl Fn() -> bool,
+) -> Option<T> {
+    let mut answer = std::pin::pin!(answer);
+    if let Ok(answer) = timeout(Duration::from_millis(patience_ms), answer.as_mut()).await {
+        return Some(answer);
+    }
+    if patience_ms >= end_ms || gives_up() {
+        return None;
+    }
+    timeout(Duration::from_millis(end_ms - patience_ms), answer).await.ok()
+}
+
 /// What a send without an answer means for its request.
 pub(crate) const fn unanswered(fault: &SendFault) -> SendOutcome {
     match fault {
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -17,10 +17,11 @@
 use tokio::time::timeout;
 
 use crate::answer_body::{AnswerBody, CutOff};
-use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, choose, may_repeat};
+use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, choose, has_alternative, may_repeat};
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
     HeadCheck, caller_answer, check_head, note_answer, put_back, read_whole, refused, unanswered,
+    with_patience,
 };
 use crate::request_context::{AdmittedRequest, RequestContext, admit, may_send};
 use crate::upstream_pool::UpstreamConnection;
@@ -35,6 +36,9 @@
 /// Silence in ms in a stream after which it is resumed elsewhere, where that is allowed.
 const SILENCE_MS: u64 = 1_200;
 
+/// Why a source is broken that sent nothing for too long.
+const SILENT: &str = "silent";
+
 /// Time in ms beyond the end of a request's time for events that are ready by then.
 const READY_MS: u64 = 300;
 
@@ -72,7 +76,7 @@
     /// progress.
     async fn next(&mut self, wait_ms: u64) -> NextEvents {
         let next = timeout(Duration::from_millis(wait_ms), self.read_events()).await;
-        next.unwrap_or(NextEvents::Broken("silent"))
+        next.unwrap_or(NextEvents::Broken(SILENT))
     }
 
     async fn read_events(&mut self) -> NextEvents {
@@ -134,10 +138,11 @@
         let first = source.next(end_ms).await;
         Ok((source, first))
     };
-    let (source, first) = match timeout(Duration::from_millis(wait_ms), opened).await {
-        Ok(Ok(opened)) => opened,
-        Ok(Err(outcome)) => return outcome,
-        Err(_) => return SendOutcome::Lost(ErrorKind::DeadlineExceeded),
+    let gives_up = || has_alternative(gateway, admitted, flight, flight.runs + 1, upstream);
+    let (source, first) = match with_patience(opened, wait_ms, end_ms, gives_up).await {
+        Some(Ok(opened)) => opened,
+        Some(Err(outcome)) => return outcome,
+        None => return SendOutcome::Lost(ErrorKind::DeadlineExceeded),
     };
     let first_ms = gateway.now().since_ms(sent_at);
     if !source.status.is_success() {
@@ -171,10 +176,13 @@
     }
 }
 
+/// The flight of a stream that has begun. Its caller has an answer, so it may go on elsewhere until its end.
 fn resumed_flight(flight: &RequestFlight) -> RequestFlight {
+    let mut limit = flight.limit;
+    limit.begin_by = limit.end_by;
     RequestFlight {
         need: flight.need.clone(),
-        limit: flight.limit,
+        limit,
         tried: flight.tried.clone(),
         runs: flight.runs + 1,
         refused: flight.refused,
@@ -280,7 +288,11 @@
                     self.cut("over").await;
                     return;
                 }
-                match source.next(self.wait_ms()).await {
+                let mut next = source.next(self.wait_ms()).await;
+                if matches!(next, NextEvents::Broken(SILENT)) && !self.may_go_on_elsewhere(&source.upstream) {
+                    next = source.next(self.left_ms()).await;
+                }
+                match next {
                     NextEvents::Events(events) => break events,
                     NextEvents::End => {
                         self.end(source);
@@ -312,11 +324,20 @@
         self.gateway.now() >= self.flight.limit.end_by.plus_ms(READY_MS)
     }
 
+    /// Time in ms that is left of the request's.
+    fn left_ms(&self) -> u64 {
+        self.flight.limit.end_by.since_ms(self.gateway.now())
+    }
+
     /// How long the next events are awaited.
     fn wait_ms(&self) -> u64 {
-        let left_ms = self.flight.limit.end_by.since_ms(self.gateway.now());
         let again = self.admitted.route.repeatable() && self.flight.runs < self.admitted.route.max_attempts;
-        if again { left_ms.min(SILENCE_MS) } else { left_ms }
+        if again { self.left_ms().min(SILENCE_MS) } else { self.left_ms() }
+    }
+
+    /// True when a silent upstream should be given up for another one.
+    fn may_go_on_elsewhere(&self, silent: &UpstreamId) -> bool {
+        has_alternative(&self.gateway, &self.admitted, &self.flight, self.flight.runs, silent)
     }
 
     fn end(&self, source: EventSource) {
@@ -352,7 +373,6 @@
             return None;
         }
         self.resumed = true;
-        self.flight.limit.begin_by = self.flight.limit.end_by;
         loop {
             let admitted = admit(&gateway, &self.context).ok()?;
             let (chosen, admitted) =
