gateway: requests wait for tokens while no leader has refused them; fewer calls to a store that turns a gateway away

Change: the wait is a decision of its own (TokenWait); gateways of a large fleet that hear a leader pause up to 1.2 s between failed calls and ask a peer for what they miss; at their start all leave the upstreams' table to the leader, once they hear one. Tests: a_request_waits_for_tokens_while_they_may_come; the case leader_is_lost would be refused before.

--- a/crates/cowslip-entry/tests/entry/wait_cases.rs
+++ b/crates/cowslip-entry/tests/entry/wait_cases.rs
@@ -1,6 +1,6 @@
 //! How long requests wait, and when refused callers come back.
 
-use cowslip_entry::{RouteKind, WaitLimit, leader_due_ms};
+use cowslip_entry::{RouteKind, TokenWait, WaitLimit, leader_due_ms};
 use rstest::rstest;
 
 use crate::names::{at, route};
@@ -73,3 +73,23 @@
 fn a_leader_that_is_overdue_is_hoped_for_soon() {
     assert_eq!(leader_due_ms(10_000, 3_000), 500);
 }
+
+/// Guards against requests that are refused for want of tokens although no leader has refused any: the one that they asked
+/// has lost its lease, and the next one is due. And against a wait for tokens that the leader said will come too late.
+#[rstest]
+#[case::asked_just_now(10, 0, false, false, false)]
+#[case::leader_is_lost(470, 0, false, false, false)]
+#[case::no_leader_for_long(1_500, 0, false, false, true)]
+#[case::answered_without_grant(460, 0, true, false, true)]
+#[case::comes_in_time(100, 200, true, false, false)]
+#[case::comes_too_late(100, 900, true, true, false)]
+fn a_request_waits_for_tokens_while_they_may_come(
+    #[case] waited_ms: u64,
+    #[case] refused_ms: u64,
+    #[case] answered: bool,
+    #[case] refused: bool,
+    #[case] over: bool,
+) {
+    let wait = TokenWait { waited_ms, refused_ms, answered };
+    assert_eq!((wait.is_refused(), wait.is_over()), (refused, over));
+}
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -35,7 +35,7 @@
 /// them before it.
 const ANSWER_MS: (u64, u64) = (400, 5);
 
-/// Age in ms of the own view from which another gateway is asked for its one.
+/// Age in ms of the own view from which another gateway is asked for its one, unless a change is known to be missing in it.
 const VOUCH_AGE_MS: u64 = 2_600;
 
 /// Serves other gateways.
@@ -330,7 +330,7 @@
         let state = gateway.lock();
         // A copy is large: it is asked for only when the store does not answer this gateway.
         let refused = state.store_failed_at.is_some_and(|at| now.since_ms(at) < VOUCH_AGE_MS);
-        let old = refused && state.view.age_ms(now).is_none_or(|age| age >= VOUCH_AGE_MS);
+        let old = refused && (state.behind || state.view.age_ms(now).is_none_or(|age| age >= VOUCH_AGE_MS));
         let mut peers = state.peers.clone();
         if state.lead.is_none() {
             peers.extend(state.leader);
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cowslip_adapter::{CallerHeaders, passes_to_upstream};
 use cowslip_entry::{
-    PurseStep, RouteKind, RouteRule, TeamRule, TokenNeed, WaitLimit, alone_after_ms, leader_due_ms,
+    PurseStep, RouteKind, RouteRule, TeamRule, TokenNeed, TokenWait, WaitLimit, alone_after_ms, leader_due_ms,
 };
 use cowslip_units::{ClockTime, ErrorKind};
 use http::header::HOST;
@@ -25,12 +25,6 @@
 use crate::request_context::{RequestContext, admit};
 use crate::request_refusal::RequestRefusal;
 
-/// Longest time in ms that a request waits for its team's tokens.
-const TOKEN_WAIT_MS: u64 = 450;
-
-/// Longest time in ms that a request waits for the tokens while no leader answers.
-const LEADER_WAIT_MS: u64 = 1_500;
-
 /// Rank of a route from which its large requests give way to others of the team.
 const BULK_PRIORITY: u8 = 2;
 
@@ -186,19 +180,20 @@
                 }
                 PurseStep::Short(_) => {}
             }
-            let refused_ms = tokens.refused_until.since_ms(now);
-            let waited_ms = now.since_ms(begun_at);
-            if counted && refused_ms + waited_ms > TOKEN_WAIT_MS {
+            // A leader that has lost its lease since has refused nothing.
+            let wait = TokenWait {
+                waited_ms: now.since_ms(begun_at),
+                refused_ms: tokens.refused_until.since_ms(now),
+                answered: lost_at.is_none() && heard.is_some_and(|at| at >= begun_at),
+            };
+            if counted && wait.is_refused() {
                 break Err(RequestRefusal::new(ErrorKind::RateLimited)
-                    .with_retry_after(limit.retry_after_ms(refused_ms, now)));
+                    .with_retry_after(limit.retry_after_ms(wait.refused_ms, now)));
             }
-            // A leader that has not answered yet, or that has lost its lease meanwhile, has refused nothing.
-            let answered = lost_at.is_none() && heard.is_some_and(|at| at >= begun_at);
-            let most_ms = if answered { TOKEN_WAIT_MS } else { LEADER_WAIT_MS };
-            if waited_ms >= most_ms || now >= limit.give_up_at() {
+            if wait.is_over() || now >= limit.give_up_at() {
                 let wait_ms = match heard {
                     Some(at) if alone => leader_due_ms(now.since_ms(at), LEASE_MS),
-                    _ => TOKEN_WAIT_MS,
+                    _ => wait.retry_ms(),
                 };
                 break Err(RequestRefusal::new(ErrorKind::RateLimited)
                     .with_retry_after(limit.retry_after_ms(wait_ms, now)));
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -7,7 +7,7 @@
     FeedOutcome, OPERATOR_TABLE, StoreRow, StoreRows, UPSTREAM_TABLE, operator_change, upstream_entry,
 };
 use cowslip_entry::{
-    CopiedRow, OperatorChange, UpstreamEntry, UpstreamNews, ViewCopy, ViewOutcome, ViewStamp,
+    CopiedRow, OperatorChange, UpstreamEntry, UpstreamNews, ViewCopy, ViewOutcome, ViewStamp, heard_ms,
 };
 use cowslip_platform::PlatformError;
 use cowslip_units::{ClockTime, UpstreamId};
@@ -39,16 +39,23 @@
 /// Longest such time in ms.
 const COLLECT_MS: u64 = 700;
 
-/// Time in ms from its start in which a gateway of a large fleet that hears a leader leaves it to tell what there is, and
-/// does not read the whole table itself: all may start at once.
+/// Time in ms from its start in which a gateway that hears a leader leaves it to tell what there is, and does not read the
+/// whole table itself: all may start at once.
 const LEADER_TELLS_MS: u64 = 3_000;
 
+/// The same while it has not heard one.
+const LEADER_SEARCH_MS: u64 = 600;
+
 /// Longest pause in ms between two looks whether the store must be asked.
 const REST_MS: u64 = 150;
 
 /// First and longest pause in ms after a failed call.
 const PAUSE_MS: (u64, u64) = (60, 400);
 
+/// Longest such pause in ms of a gateway that a leader informs and that needs the store only for what the leader does not
+/// tell. When the store turns a third of a large fleet away, the calls of all add up.
+const INFORMED_PAUSE_MS: u64 = 1_200;
+
 /// Which table a loop follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FollowedTable {
@@ -116,8 +123,10 @@
         FollowedTable::Upstreams => {
             let own_call_ms = gateway.settings.drain_ms.saturating_sub(OWN_CALL_MARGIN_MS);
             let informed = state.upstreams_at.is_some_and(|at| now.since_ms(at) < own_call_ms);
-            let started = now.since_ms(gateway.started_at) < LEADER_TELLS_MS;
-            let told_soon = started && state.member_count() > SMALL_FLEET && state.leader_heard_at.is_some();
+            let age_ms = now.since_ms(gateway.started_at);
+            let patience_ms =
+                if state.leader_heard_at.is_some() { LEADER_TELLS_MS } else { LEADER_SEARCH_MS };
+            let told_soon = age_ms < patience_ms && !state.upstreams_known;
             if !leads && (informed || told_soon) {
                 return FollowStep::Rest;
             }
@@ -164,12 +173,21 @@
                     lost = true;
                 }
                 gateway.clock.sleep_ms(pause_ms).await;
-                pause_ms = (pause_ms * 2).min(PAUSE_MS.1);
+                pause_ms = (pause_ms * 2).min(longest_pause_ms(&gateway));
             }
         }
     }
 }
 
+/// Longest pause in ms after failed calls.
+fn longest_pause_ms(gateway: &Gateway) -> u64 {
+    let state = gateway.lock();
+    let members = state.members.len();
+    let informed = state.leader_heard_at.is_some_and(|at| gateway.now().since_ms(at) < heard_ms(members));
+    let large = state.lead.is_none() && members > SMALL_FLEET;
+    if informed && large { INFORMED_PAUSE_MS } else { PAUSE_MS.1 }
+}
+
 fn count(gateway: &Gateway, kind: &'static str, failed: bool) {
     let outcome = if failed { "failed" } else { "ok" };
     gateway.metrics.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
