leader: hot models go first at the weight store

The plan wanted 16 replicas of the hottest model and had 4 (83 requests a second, 100 running, at 18 s): the five loads from the weight store that it allows itself at once went to rare models that one request waits for each, and before that to models that nobody had asked for. Ruled out: victims (121 engines were free), the budget of loads, engines with a copy on their disk (all held the model). Change: a model that lacks two replicas or more is hot; it may use twice as many loads at once, and while it wants some, rare ones get half and loads ahead of demand next to nothing.

--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -50,6 +50,29 @@
 /// Loads from the weight store that run ahead of demand at most, as a part of those at full speed.
 const AHEAD_PART: f64 = 0.75;
 
+/// Replicas that a model lacks from which it is hot: its requests are refused although other engines are idle.
+const HOT_DEFICIT: usize = 2;
+
+/// Time in ms after a hot model wanted the weight store in which others get little of it. A replica of a hot model serves
+/// many requests, a load of a rare one mostly a single request.
+const CONTENDED_MS: u64 = 2_000;
+
+/// Loads of hot models from the weight store run up to so many times as many at once as are known to run at full speed.
+const HOT_FACTOR: usize = 2;
+
+/// Why a model is loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LoadCause {
+    /// Requests wait, and no engine holds it.
+    Waiting,
+    /// Its engines have too much to do by far.
+    Hot,
+    /// One more engine should hold it.
+    Replica,
+    /// Nobody asks for it yet, and no engine has a copy of it.
+    Ahead,
+}
+
 /// Where a load costs least so far.
 struct LoadPlace {
     /// Its cost in ms.
@@ -71,6 +94,8 @@
     replicas: Vec<(ModelId, usize)>,
     /// When models were last looked for that no engine has a copy of.
     fetched_at: ClockTime,
+    /// When a hot model last wanted a load from the weight store.
+    hot_at: Option<ClockTime>,
     /// No order is sent before this time: an earlier leader's may still arrive.
     orders_from: ClockTime,
 }
@@ -85,6 +110,7 @@
             limit,
             replicas: Vec::new(),
             fetched_at: ClockTime::ZERO,
+            hot_at: None,
             orders_from,
         }
     }
@@ -250,7 +276,7 @@
         });
         for demand in waiting {
             if self.replicas(&demand.model) == 0 {
-                self.start_load(service, rule, &demand.model, false, now);
+                self.start_load(service, rule, &demand.model, LoadCause::Waiting, now);
             }
         }
     }
@@ -271,16 +297,49 @@
         let mut busy: Vec<ModelDemand> = busy.cloned().collect();
         busy.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
         for demand in &busy {
-            if self.replicas(&demand.model) < self.wanted_replicas(demand, engines) {
-                self.start_load(service, rule, &demand.model, true, now);
+            let (held, wanted) = (self.replicas(&demand.model), self.wanted_replicas(demand, engines));
+            if held >= wanted {
+                continue;
+            }
+            let hot = wanted - held >= HOT_DEFICIT;
+            if hot && !self.has_near_copy(&demand.model) {
+                self.hot_at = Some(now);
             }
+            let cause = if hot { LoadCause::Hot } else { LoadCause::Replica };
+            self.start_load(service, rule, &demand.model, cause, now);
+        }
+    }
+
+    /// True when an engine that does not hold the model has a copy of it.
+    fn has_near_copy(&self, model: &ModelId) -> bool {
+        let near = |engine: &PlannedEngine| {
+            !engine.closed && !engine.entry.holds(model) && engine.tier(model) != WeightTier::Store
+        };
+        self.engines.iter().any(near)
+    }
+
+    /// True while hot models wait for the weight store.
+    fn is_store_contended(&self, now: ClockTime) -> bool {
+        self.hot_at.is_some_and(|at| now.since_ms(at) < CONTENDED_MS)
+    }
+
+    /// Loads from the weight store that may run when one more begins for that cause.
+    fn most_store_loads(&self, cause: LoadCause, now: ClockTime) -> usize {
+        let at_once = self.limit.at_once;
+        match cause {
+            LoadCause::Hot => at_once * HOT_FACTOR,
+            LoadCause::Waiting | LoadCause::Replica if self.is_store_contended(now) => at_once / 2,
+            LoadCause::Waiting | LoadCause::Replica => at_once + 1,
+            LoadCause::Ahead if self.is_store_contended(now) => 1,
+            LoadCause::Ahead => ((at_once as f64 * AHEAD_PART) as usize).max(1),
         }
     }
 
     /// Fetches models that no engine has on its disk, while the weight store has room.
     fn fetch_ahead(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
-        let most = ((self.limit.at_once as f64 * AHEAD_PART) as usize).max(1);
-        if self.store_loads() >= most || now < self.fetched_at.plus_ms(FETCH_PAUSE_MS) {
+        if self.store_loads() >= self.most_store_loads(LoadCause::Ahead, now)
+            || now < self.fetched_at.plus_ms(FETCH_PAUSE_MS)
+        {
             return;
         }
         self.fetched_at = now;
@@ -295,20 +354,21 @@
         let missing = rule.models.iter().map(|model| &model.name).filter(|model| !copied(model));
         let next = missing.max_by(|left, right| rate(left).total_cmp(&rate(right))).cloned();
         match next {
-            Some(model) => self.start_load(service, rule, &model, true, now),
+            Some(model) => self.start_load(service, rule, &model, LoadCause::Ahead, now),
             None => self.fetched_at = now.plus_ms(COPIED_PAUSE_MS),
         }
     }
 
-    /// Begins a load on the engine where it costs least. With `idle_only`, only idle models make way.
+    /// Begins a load on the engine where it costs least. Only for requests that wait do models in use make way.
     fn start_load(
         &mut self,
         service: &ServiceId,
         rule: &EngineRule,
         model: &ModelId,
-        idle_only: bool,
+        cause: LoadCause,
         now: ClockTime,
     ) {
+        let idle_only = cause != LoadCause::Waiting;
         let Some(model_rule) = rule.model(model) else { return };
         let store_ms = load_ms(model_rule, WeightTier::Store) as f64;
         let mut best: Option<LoadPlace> = None;
@@ -329,7 +389,7 @@
             }
         }
         // Engines without a copy, of which there are many, are looked at only where they could be cheaper.
-        let may_fetch = self.budget.allows() && self.store_loads() <= self.limit.at_once;
+        let may_fetch = self.budget.allows() && self.store_loads() < self.most_store_loads(cause, now);
         let worth_it = store_ms <= soonest_busy + BUSY_MARGIN_MS;
         if may_fetch && worth_it && best.as_ref().is_none_or(|place| place.cost > store_ms) {
             for at in far {
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -344,3 +344,91 @@
     desk.orders(5_000);
     assert_eq!(wait_ms(&desk, 5_000), 1_000, "the entry is from before two orders");
 }
+
+/// Plays the load of a hot model whose engines are full while other models have no copy on any disk. Guards against a weight
+/// store that is kept busy by loads that nobody waits for.
+#[rstest]
+#[case::hot(true, 0)]
+#[case::calm(false, 3)]
+fn loads_ahead_leave_the_store_to_hot_models(#[case] hot: bool, #[case] most_ahead: usize) {
+    let engines: Vec<UpstreamEntry> = (0..9)
+        .map(|number| entry(&format!("e{number}"), "s", if number == 0 { &["a", "b"] } else { &["b", "c"] }))
+        .collect();
+    let mut desk = Desk::new(engines);
+    desk.orders(0);
+    let (mut ahead, mut replicas) = (Vec::new(), 0);
+    for millis in (100..3_000).step_by(20) {
+        if hot {
+            let line = DemandLine {
+                model: model("a"),
+                adapter: None,
+                arrived: 1,
+                waiting: 60,
+                oldest_ms: 50,
+                priority: 1,
+            };
+            let running =
+                RunningLine { upstream: upstream("e0"), model: Some(model("a")), adapter: None, count: 8 };
+            let report = GatewayReport {
+                gateway: "g".into(),
+                demand: vec![line],
+                running: vec![running],
+                ..GatewayReport::default()
+            };
+            desk.planner.heard(report, at(millis));
+        }
+        for order in desk.orders(millis) {
+            match &order.action {
+                EngineAction::Load(name) if *name == model("a") => replicas += 1,
+                EngineAction::Load(name) => ahead.push(name.clone()),
+                _ => {}
+            }
+            desk.answer(&order, OrderAnswer::Started, millis);
+        }
+    }
+    assert!(ahead.len() <= most_ahead, "{ahead:?}");
+    assert_eq!(replicas > 0, hot, "{replicas} replicas");
+}
+
+/// Plays a hot model beside rare ones that requests wait for, none of them with a copy near. Guards against a weight store
+/// that loads the rare ones one after the other while the hot model's requests are refused.
+#[test]
+fn a_hot_model_goes_before_rare_ones_at_the_store() {
+    let engines: Vec<UpstreamEntry> = (0..16)
+        .map(|number| {
+            entry(&format!("e{number:02}"), "s", if number == 0 { &["a", "b"] } else { &["b", "c"] })
+        })
+        .collect();
+    let mut desk = Desk::new(engines);
+    desk.services[0].engine.as_mut().expect("engine rule").loads_per_s = 20.0;
+    desk.orders(0);
+    let mut loads: Vec<String> = Vec::new();
+    for millis in (100..1_500).step_by(20) {
+        let line = |name: &str, waiting: u32| DemandLine {
+            model: model(name),
+            adapter: None,
+            arrived: 1,
+            waiting,
+            oldest_ms: 50,
+            priority: 1,
+        };
+        let running =
+            RunningLine { upstream: upstream("e00"), model: Some(model("a")), adapter: None, count: 8 };
+        let report = GatewayReport {
+            gateway: "g".into(),
+            demand: vec![line("a", 40), line("d", 1), line("e", 1), line("f", 1)],
+            running: vec![running],
+            ..GatewayReport::default()
+        };
+        desk.planner.heard(report, at(millis));
+        for order in desk.orders(millis) {
+            if let EngineAction::Load(name) = &order.action {
+                loads.push(name.to_string());
+            }
+            desk.answer(&order, OrderAnswer::Started, millis);
+        }
+    }
+    let hot = loads.iter().filter(|name| *name == "a").count();
+    // 48 calls want six engines, one of which is there.
+    assert!(hot >= 4, "{loads:?}");
+}
