leader plan: places at the weight store, the choice of victims and what is told in files of their own

Cause: load_planner.rs had grown to 620 lines, and a function took seven arguments. Change: StoreSlots decides who may load from the weight store, victim_choice.rs where a load costs least, plan_news.rs tells gateways. No rule changes but one: a load ahead of demand looks at the rate's budget before it looks for a model. 122 tests of the crate pass.

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod request_need;
 mod route_rule;
 mod service_rule;
+mod store_slots;
 mod store_trouble;
 mod team_rule;
 mod token_purse;
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -5,17 +5,19 @@
 //! least. Models that no engine has on its disk are fetched ahead while the weight store is idle, because the first
 //! load takes several times as long as the later ones.
 
+mod plan_news;
+mod victim_choice;
+
 use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
-use smol_str::SmolStr;
 
-use crate::adapter_plan::has_arrived;
 use crate::model_answer::{DOUBT_MS, model_answered, task_left_ms};
 use crate::planned_engine::{EngineTask, TaskStage, load_ms};
+use crate::store_slots::{LoadCause, StoreSlots};
 use crate::{
-    ArrivalLine, DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, LoadBudget,
-    ModelDemand, ModelRule, OrderAnswer, PlaceLine, PlanStep, PlannedEngine, ServiceRule, StoreLimit,
-    UpstreamEntry, WeightTier,
+    DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, ModelDemand,
+    OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry, WeightTier,
 };
+use victim_choice::{LoadNeed, LoadPlace};
 
 /// Calls of a busy model that one engine should run.
 const CALLS_PER_REPLICA: f64 = 8.0;
@@ -23,9 +25,6 @@
 /// Rate a second from which a model has two replicas.
 const BUSY_PER_S: f64 = 0.6;
 
-/// Time in ms for which a freshly loaded model is not unloaded.
-const PROTECT_MS: u64 = 1_200;
-
 /// Time in ms that waiting for the calls of a victim is reckoned to take.
 const RUNNING_MS: f64 = 1_500.0;
 
@@ -41,61 +40,20 @@
 /// Time in ms on top of it once every model has a copy: that changes only when an engine is lost.
 const COPIED_PAUSE_MS: u64 = 800;
 
-/// An engine counts as loaded from this part of its slots on.
-const LOADED_PART: u32 = 4;
-
-/// Places of one model that are told at most.
-const MAX_PLACES: usize = 8;
-
-/// Loads from the weight store that run ahead of demand at most, as a part of those at full speed.
-const AHEAD_PART: f64 = 0.75;
-
 /// Replicas that a model lacks from which it is hot: its requests are refused although other engines are idle.
 const HOT_DEFICIT: usize = 2;
 
-/// Time in ms after a hot model wanted the weight store in which others get little of it. A replica of a hot model serves
-/// many requests, a load of a rare one mostly a single request.
-const CONTENDED_MS: u64 = 2_000;
-
-/// Loads of hot models from the weight store run up to so many times as many at once as are known to run at full speed.
-const HOT_FACTOR: usize = 2;
-
-/// Why a model is loaded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LoadCause {
-    /// Requests wait, and no engine holds it.
-    Waiting,
-    /// Its engines have too much to do by far.
-    Hot,
-    /// One more engine should hold it.
-    Replica,
-    /// Nobody asks for it yet, and no engine has a copy of it.
-    Ahead,
-}
-
-/// Where a load costs least so far.
-struct LoadPlace {
-    /// Its cost in ms.
-    cost: f64,
-    /// The engine's place among all.
-    at: usize,
-    victims: Vec<ModelId>,
-    tier: WeightTier,
-}
-
 /// The leader's plan for all engines.
 #[derive(Clone, Debug)]
 pub struct LoadPlanner {
     engines: Vec<PlannedEngine>,
     demand: DemandTable,
-    budget: LoadBudget,
-    limit: StoreLimit,
+    /// Places at the weight store.
+    slots: StoreSlots,
     /// Engines that hold, or are about to hold, each model of the service in hand; sorted.
     replicas: Vec<(ModelId, usize)>,
     /// When models were last looked for that no engine has a copy of.
     fetched_at: ClockTime,
-    /// When a hot model last wanted a load from the weight store.
-    hot_at: Option<ClockTime>,
     /// No order is sent before this time: an earlier leader's may still arrive.
     orders_from: ClockTime,
 }
@@ -106,11 +64,9 @@
         Self {
             engines: Vec::new(),
             demand: DemandTable::new(now),
-            budget: LoadBudget::new(now),
-            limit,
+            slots: StoreSlots::new(limit, now),
             replicas: Vec::new(),
             fetched_at: ClockTime::ZERO,
-            hot_at: None,
             orders_from,
         }
     }
@@ -192,7 +148,7 @@
         }
         for service in services {
             let Some(rule) = &service.engine else { continue };
-            self.budget.refill(rule.loads_per_s, self.limit.extra, now);
+            self.slots.refill(rule.loads_per_s, now);
             self.count_replicas(&service.name);
             self.serve_waiting(&service.name, rule, now);
             self.add_replicas(&service.name, rule, now);
@@ -303,7 +259,7 @@
             }
             let hot = wanted - held >= HOT_DEFICIT;
             if hot && !self.has_near_copy(&demand.model) {
-                self.hot_at = Some(now);
+                self.slots.wanted_by_hot(now);
             }
             let cause = if hot { LoadCause::Hot } else { LoadCause::Replica };
             self.start_load(service, rule, &demand.model, cause, now);
@@ -318,26 +274,9 @@
         self.engines.iter().any(near)
     }
 
-    /// True while hot models wait for the weight store.
-    fn is_store_contended(&self, now: ClockTime) -> bool {
-        self.hot_at.is_some_and(|at| now.since_ms(at) < CONTENDED_MS)
-    }
-
-    /// Loads from the weight store that may run when one more begins for that cause.
-    fn most_store_loads(&self, cause: LoadCause, now: ClockTime) -> usize {
-        let at_once = self.limit.at_once;
-        match cause {
-            LoadCause::Hot => at_once * HOT_FACTOR,
-            LoadCause::Waiting | LoadCause::Replica if self.is_store_contended(now) => at_once / 2,
-            LoadCause::Waiting | LoadCause::Replica => at_once + 1,
-            LoadCause::Ahead if self.is_store_contended(now) => 1,
-            LoadCause::Ahead => ((at_once as f64 * AHEAD_PART) as usize).max(1),
-        }
-    }
-
     /// Fetches models that no engine has on its disk, while the weight store has room.
     fn fetch_ahead(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
-        if self.store_loads() >= self.most_store_loads(LoadCause::Ahead, now)
+        if !self.slots.allows(self.store_loads(), LoadCause::Ahead, now)
             || now < self.fetched_at.plus_ms(FETCH_PAUSE_MS)
         {
             return;
@@ -368,8 +307,8 @@
         cause: LoadCause,
         now: ClockTime,
     ) {
-        let idle_only = cause != LoadCause::Waiting;
         let Some(model_rule) = rule.model(model) else { return };
+        let need = LoadNeed { rule, model: model_rule, idle_only: cause != LoadCause::Waiting, now };
         let store_ms = load_ms(model_rule, WeightTier::Store) as f64;
         let mut best: Option<LoadPlace> = None;
         let mut soonest_busy = f64::INFINITY;
@@ -385,15 +324,15 @@
             } else if tier == WeightTier::Store {
                 far.push(at);
             } else {
-                self.consider(at, tier, rule, model_rule, idle_only, &mut best, now);
+                self.consider(at, tier, &need, &mut best);
             }
         }
         // Engines without a copy, of which there are many, are looked at only where they could be cheaper.
-        let may_fetch = self.budget.allows() && self.store_loads() < self.most_store_loads(cause, now);
+        let may_fetch = self.slots.allows(self.store_loads(), cause, now);
         let worth_it = store_ms <= soonest_busy + BUSY_MARGIN_MS;
         if may_fetch && worth_it && best.as_ref().is_none_or(|place| place.cost > store_ms) {
             for at in far {
-                self.consider(at, WeightTier::Store, rule, model_rule, idle_only, &mut best, now);
+                self.consider(at, WeightTier::Store, &need, &mut best);
             }
         }
         let Some(LoadPlace { cost, at, victims, tier }) = best else { return };
@@ -402,7 +341,7 @@
             return;
         }
         if tier == WeightTier::Store {
-            self.budget.take();
+            self.slots.take();
         }
         for victim in &victims {
             self.count_replica(victim, false);
@@ -420,94 +359,6 @@
         }
     }
 
-    /// Keeps an engine as the place of a load if it is the cheapest so far.
-    #[allow(clippy::too_many_arguments)]
-    fn consider(
-        &self,
-        at: usize,
-        tier: WeightTier,
-        rule: &EngineRule,
-        model_rule: &ModelRule,
-        idle_only: bool,
-        best: &mut Option<LoadPlace>,
-        now: ClockTime,
-    ) {
-        let Some(engine) = self.engines.get(at) else { return };
-        let load = load_ms(model_rule, tier) as f64;
-        if best.as_ref().is_some_and(|place| place.cost <= load) {
-            return;
-        }
-        let Some((victims, loss)) = self.victims(engine, rule, model_rule.size_mb, idle_only, now) else {
-            return;
-        };
-        let cost = load + loss;
-        if best.as_ref().is_none_or(|place| cost < place.cost) {
-            *best = Some(LoadPlace { cost, at, victims, tier });
-        }
-    }
-
-    /// The models that should make way for `size_mb`, and what their loss costs in ms; `None` when none may.
-    fn victims(
-        &self,
-        engine: &PlannedEngine,
-        rule: &EngineRule,
-        size_mb: f64,
-        idle_only: bool,
-        now: ClockTime,
-    ) -> Option<(Vec<ModelId>, f64)> {
-        let mut used = engine.used_mb(rule);
-        let mut victims = Vec::new();
-        let mut loss = 0.0;
-        let mut models: Vec<(f64, &ModelId)> = Vec::new();
-        for held in &engine.entry.models {
-            if let Some(value) = self.value(engine, rule, &held.name, idle_only, now) {
-                models.push((value, &held.name));
-            }
-        }
-        models.sort_by(|left, right| left.0.total_cmp(&right.0));
-        for (value, model) in models {
-            if used + size_mb <= rule.memory_mb {
-                break;
-            }
-            used -= rule.model(model).map_or(0.0, |model| model.size_mb);
-            loss += value;
-            victims.push(model.clone());
-        }
-        (used + size_mb <= rule.memory_mb).then_some((victims, loss))
-    }
-
-    /// What unloading a model costs, in ms; `None` when it must stay.
-    fn value(
-        &self,
-        engine: &PlannedEngine,
-        rule: &EngineRule,
-        model: &ModelId,
-        idle_only: bool,
-        now: ClockTime,
-    ) -> Option<f64> {
-        let running = self.demand.running_at(&engine.entry.id, model, None);
-        let replicas = self.replicas(model);
-        let demand = self.demand.get(model);
-        let per_s = demand.map_or(0.0, |demand| demand.per_s);
-        let waiting = demand.map_or(0, |demand| demand.waiting);
-        if engine.loaded_since(model, now) < PROTECT_MS {
-            return None;
-        }
-        if idle_only && (running > 0 || waiting > 0) {
-            return None;
-        }
-        let wanted = demand.map_or(0, |demand| self.wanted_replicas(demand, self.engines.len()));
-        if per_s >= BUSY_PER_S && replicas <= wanted.max(1) {
-            return None;
-        }
-        let reload = rule.model(model).map_or(0, |model| model.disk_ms) as f64;
-        let idle_s = demand.map_or(60.0, |demand| now.since_ms(demand.asked_at) as f64 / 1_000.0).min(60.0);
-        let soon = 1.0 / (1.0 + idle_s);
-        let last = if replicas <= 1 { 1.0 } else { 0.3 };
-        let busy = if running > 0 { RUNNING_MS } else { 0.0 };
-        Some(reload * last * (0.1 + soon + per_s.min(2.0)) + busy)
-    }
-
     fn send_tasks(
         &mut self,
         service: &ServiceId,
@@ -554,67 +405,4 @@
         let orders = crate::adapter_plan::adapter_orders(&mut self.engines, service, rule, &self.demand, now);
         steps.extend(orders.into_iter().map(PlanStep::Order));
     }
-
-    /// Models that are coming, with the time until they can serve.
-    pub fn arrivals(&self, services: &[ServiceRule], now: ClockTime) -> Vec<ArrivalLine> {
-        let mut lines = Vec::new();
-        for engine in &self.engines {
-            let Some(task) = &engine.task else { continue };
-            let rule = services.iter().find(|service| service.name == engine.entry.service);
-            let Some(model) =
-                rule.and_then(|rule| rule.engine.as_ref()).and_then(|rule| rule.model(&task.model))
-            else {
-                continue;
-            };
-            let (wait_ms, begun) = match task.stage {
-                TaskStage::Loading(until) => (until.since_ms(now), true),
-                TaskStage::Send(_) | TaskStage::Sent(_) => (load_ms(model, task.tier), false),
-            };
-            let upstream = engine.entry.id.clone();
-            lines.push(ArrivalLine { upstream, model: task.model.clone(), wait_ms, begun });
-        }
-        lines
-    }
-
-    /// True when so many calls are worth telling to a large fleet: an upstream that has most of its slots free is as good
-    /// as an idle one. Plain services, which the plan does not know, always are.
-    pub fn is_loaded(&self, upstream: &UpstreamId, calls: u32) -> bool {
-        let engine = self.find(upstream).ok().and_then(|at| self.engines.get(at));
-        engine.is_none_or(|engine| calls * LOADED_PART >= engine.entry.slots)
-    }
-
-    /// Engines that hold a model, or an adapter of it, and keep it, with the calls there of gateways other than `gateway`.
-    pub fn places(
-        &self,
-        gateway: &str,
-        model: &ModelId,
-        adapter: Option<&SmolStr>,
-        now: ClockTime,
-    ) -> Vec<PlaceLine> {
-        let keeps = |engine: &&PlannedEngine| {
-            !engine.closed
-                && engine.entry.holds(model)
-                && !engine.task.as_ref().is_some_and(|task| task.victims.contains(model))
-                && adapter.is_none_or(|adapter| has_arrived(engine, model, adapter, now))
-        };
-        let line = |engine: &PlannedEngine| PlaceLine {
-            upstream: engine.entry.id.clone(),
-            model: model.clone(),
-            adapter: adapter.cloned(),
-            calls: {
-                let (id, demand) = (&engine.entry.id, &self.demand);
-                demand.calls_at(id).saturating_sub(demand.calls_of(gateway, id))
-            },
-        };
-        self.engines.iter().filter(keeps).take(MAX_PLACES).map(line).collect()
-    }
-
-    /// Models that are about to be unloaded.
-    pub fn leaving(&self) -> Vec<(UpstreamId, ModelId)> {
-        let of_engine = |engine: &PlannedEngine| -> Vec<(UpstreamId, ModelId)> {
-            let victims = engine.task.iter().flat_map(|task| &task.victims);
-            victims.map(|victim| (engine.entry.id.clone(), victim.clone())).collect()
-        };
-        self.engines.iter().flat_map(of_engine).collect()
-    }
 }
--- /dev/null
+++ b/crates/cowslip-entry/src/load_planner/plan_news.rs
@@ -0,0 +1,81 @@
+//! What the leader tells gateways of its plan: which engines hold what their requests wait for, which are loading it, and
+//! which models are about to go.
+
+use cowslip_units::{ClockTime, ModelId, UpstreamId};
+use smol_str::SmolStr;
+
+use super::LoadPlanner;
+use crate::adapter_plan::has_arrived;
+use crate::planned_engine::{TaskStage, load_ms};
+use crate::{ArrivalLine, PlaceLine, PlannedEngine, ServiceRule};
+
+/// An engine counts as loaded from this part of its slots on.
+const LOADED_PART: u32 = 4;
+
+/// Places of one model that are told at most.
+const MAX_PLACES: usize = 8;
+
+impl LoadPlanner {
+    /// Models that are coming, with the time until they can serve.
+    pub fn arrivals(&self, services: &[ServiceRule], now: ClockTime) -> Vec<ArrivalLine> {
+        let mut lines = Vec::new();
+        for engine in &self.engines {
+            let Some(task) = &engine.task else { continue };
+            let rule = services.iter().find(|service| service.name == engine.entry.service);
+            let Some(model) =
+                rule.and_then(|rule| rule.engine.as_ref()).and_then(|rule| rule.model(&task.model))
+            else {
+                continue;
+            };
+            let (wait_ms, begun) = match task.stage {
+                TaskStage::Loading(until) => (until.since_ms(now), true),
+                TaskStage::Send(_) | TaskStage::Sent(_) => (load_ms(model, task.tier), false),
+            };
+            let upstream = engine.entry.id.clone();
+            lines.push(ArrivalLine { upstream, model: task.model.clone(), wait_ms, begun });
+        }
+        lines
+    }
+
+    /// True when so many calls are worth telling to a large fleet: an upstream that has most of its slots free is as good
+    /// as an idle one. Plain services, which the plan does not know, always are.
+    pub fn is_loaded(&self, upstream: &UpstreamId, calls: u32) -> bool {
+        let engine = self.find(upstream).ok().and_then(|at| self.engines.get(at));
+        engine.is_none_or(|engine| calls * LOADED_PART >= engine.entry.slots)
+    }
+
+    /// Engines that hold a model, or an adapter of it, and keep it, with the calls there of gateways other than `gateway`.
+    pub fn places(
+        &self,
+        gateway: &str,
+        model: &ModelId,
+        adapter: Option<&SmolStr>,
+        now: ClockTime,
+    ) -> Vec<PlaceLine> {
+        let keeps = |engine: &&PlannedEngine| {
+            !engine.closed
+                && engine.entry.holds(model)
+                && !engine.task.as_ref().is_some_and(|task| task.victims.contains(model))
+                && adapter.is_none_or(|adapter| has_arrived(engine, model, adapter, now))
+        };
+        let line = |engine: &PlannedEngine| PlaceLine {
+            upstream: engine.entry.id.clone(),
+            model: model.clone(),
+            adapter: adapter.cloned(),
+            calls: {
+                let (id, demand) = (&engine.entry.id, &self.demand);
+                demand.calls_at(id).saturating_sub(demand.calls_of(gateway, id))
+            },
+        };
+        self.engines.iter().filter(keeps).take(MAX_PLACES).map(line).collect()
+    }
+
+    /// Models that are about to be unloaded.
+    pub fn leaving(&self) -> Vec<(UpstreamId, ModelId)> {
+        let of_engine = |engine: &PlannedEngine| -> Vec<(UpstreamId, ModelId)> {
+            let victims = engine.task.iter().flat_map(|task| &task.victims);
+            victims.map(|victim| (engine.entry.id.clone(), victim.clone())).collect()
+        };
+        self.engines.iter().flat_map(of_engine).collect()
+    }
+}
