gateway: those that may lead next report four times a second in a large fleet

Change: VMs that are strong enough to lead report at least every 250 ms, briefly between full reports. Test: cowslip-gateway/tests/takeover.rs plays the lease in virtual time at 295 VMs; with the usual pause the successor comes later than 0.6 s after the lease's end (candidates_that_report_seldom_are_caught), with this one it does not.

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -63,7 +63,9 @@
 pub use planned_engine::{PlannedEngine, WeightTier};
 pub use rendezvous::{pair_weight, rank_of, text_hash};
 pub use repeat_budget::{RepeatBudget, RepeatLimit};
-pub use report_times::{alone_after_ms, heard_ms, leader_due_ms, report_pause_ms, urgent_pause_ms};
+pub use report_times::{
+    alone_after_ms, candidate_pause_ms, heard_ms, leader_due_ms, report_pause_ms, urgent_pause_ms,
+};
 pub use request_need::{ModelNeed, RequestNeed};
 pub use route_rule::{RouteKind, RouteRule, RouteTarget};
 pub use service_rule::{EngineRule, ModelRule, ServiceRule};
--- a/crates/cowslip-entry/src/report_times.rs
+++ b/crates/cowslip-entry/src/report_times.rs
@@ -6,6 +6,9 @@
 /// Pause in ms that each gateway of a large fleet adds, so that the leader's work a second stays bounded.
 const REPORT_MS_PER_MEMBER: u64 = 4;
 
+/// Longest pause in ms between two reports of a gateway that may lead next.
+const CANDIDATE_MS: u64 = 250;
+
 /// Pause in ms between reports while requests wait for the leader.
 const URGENT_MS: u64 = 30;
 
@@ -24,6 +27,13 @@
     if pause_ms > REPORT_MS { pause_ms } else { REPORT_MS }
 }
 
+/// Pause in ms between two reports of a gateway that may lead next. It hears of each renewal of the lease, which takes place
+/// some times as seldom: one that finds the row renewed since it was told must wait for a whole lease before it takes over.
+pub const fn candidate_pause_ms(members: usize) -> u64 {
+    let pause_ms = report_pause_ms(members);
+    if pause_ms < CANDIDATE_MS { pause_ms } else { CANDIDATE_MS }
+}
+
 /// Pause in ms between two reports while requests wait for what takes the leader milliseconds. Few gateways have such
 /// requests at a time, and the answers are brief.
 pub const fn urgent_pause_ms(members: usize) -> u64 {
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cowslip_entry::{
-    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, heard_ms, last_renewal,
-    report_pause_ms, urgent_pause_ms,
+    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, candidate_pause_ms, heard_ms,
+    last_renewal, report_pause_ms, urgent_pause_ms,
 };
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
 use cowslip_units::{ClockTime, TeamId};
@@ -364,7 +364,9 @@
         let members = state.members.len();
         let heard = state.leader_heard_at.is_some_and(|at| now.since_ms(at) < heard_ms(members));
         let led = heard && state.leader_lost_at.is_none();
-        let usual_ms = if led { report_pause_ms(members) } else { SEARCH_MS };
+        let told_ms =
+            if gateway.settings.weak { report_pause_ms(members) } else { candidate_pause_ms(members) };
+        let usual_ms = if led { told_ms } else { SEARCH_MS };
         let urgent_ms = urgent_pause_ms(members);
         if state.waits_briefly() {
             urgent_ms.min(usual_ms)
--- /dev/null
+++ b/crates/cowslip-gateway/tests/takeover.rs
@@ -0,0 +1,112 @@
+//! How soon a frozen leader of a large fleet is replaced, in virtual time: its lease must run out first, and the candidates
+//! know of its last renewal what its answers to their reports told.
+
+use cowslip_entry::{candidate_pause_ms, heard_ms, report_pause_ms};
+use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
+use cowslip_platform::{RowValue, TableTransaction, TransactionOutcome};
+use cowslip_units::ClockTime;
+
+const MEMBERS: usize = 295;
+/// VMs of the fleet that may lead.
+const CANDIDATES: u64 = 15;
+const LEASE_MS: u64 = 3_000;
+const RENEW_MS: u64 = 700;
+const MARGIN_MS: u64 = 150;
+/// Time in ms after the end of the lease in which a successor must lead.
+const SUCCESSION_MS: u64 = 600;
+const STEP_MS: u64 = 10;
+
+/// The lease row in a table without faults.
+#[derive(Default)]
+struct LeaseTable {
+    row: Option<RowValue>,
+}
+
+impl LeaseTable {
+    fn commit(&mut self, transaction: &TableTransaction) -> TransactionOutcome {
+        let version = self.row.as_ref().map(|row| row.version);
+        let conditions = transaction.conditions.iter().filter(|condition| condition.key == LEASE_KEY);
+        if conditions.into_iter().any(|condition| condition.version != version) {
+            return TransactionOutcome {
+                committed: false,
+                versions: Vec::new(),
+                rows: self.row.clone().into_iter().collect(),
+            };
+        }
+        let next = version.unwrap_or_default() + 1;
+        for (key, value) in transaction.puts.iter().filter(|(key, _)| *key == LEASE_KEY) {
+            self.row = Some(RowValue { key: key.clone(), version: next, value: value.clone() });
+        }
+        let versions = transaction.puts.iter().map(|_| next).collect();
+        TransactionOutcome { committed: true, versions, rows: Vec::new() }
+    }
+}
+
+fn lease(name: &str) -> LeaderLease {
+    let own = LeaseHolder { vm: name.parse().expect("VM"), incarnation: name.parse().expect("incarnation") };
+    LeaderLease::new(own).with_times(LeaseTimes::new(LEASE_MS, RENEW_MS, MARGIN_MS))
+}
+
+fn drive(lease: &mut LeaderLease, table: &mut LeaseTable, now: ClockTime) {
+    for _ in 0..4 {
+        match lease.next(now) {
+            LeaseStep::Idle(_) => return,
+            LeaseStep::Read => lease.read_answered(&Ok(table.row.clone()), now),
+            LeaseStep::Commit(transaction) => {
+                let outcome = table.commit(&transaction);
+                lease.commit_answered(&Ok(outcome), now);
+            }
+        }
+    }
+}
+
+/// Time in ms from the freeze of the leader to the next one, when candidates report every `pause_ms`.
+fn succession_ms(pause_ms: u64, freeze_at: u64) -> u64 {
+    let mut table = LeaseTable::default();
+    let mut holder = lease("holder");
+    let mut candidates: Vec<(LeaderLease, u64)> = (0..CANDIDATES)
+        .map(|number| (lease(&format!("c{number}")), number * pause_ms / CANDIDATES))
+        .collect();
+    for millis in (0..freeze_at + 4 * LEASE_MS).step_by(STEP_MS as usize) {
+        let now = ClockTime::new(millis);
+        if millis < freeze_at {
+            drive(&mut holder, &mut table, now);
+        }
+        for (candidate, phase) in &mut candidates {
+            let reports = millis % pause_ms / STEP_MS == *phase / STEP_MS;
+            if millis < freeze_at
+                && reports
+                && let Some((version, at)) = holder.renewal(now)
+            {
+                candidate.told(version, at);
+            }
+            // A candidate looks at the row once the leader has been silent.
+            if millis >= freeze_at + heard_ms(MEMBERS) {
+                drive(candidate, &mut table, now);
+                if candidate.is_leader(now) {
+                    return millis - freeze_at;
+                }
+            }
+        }
+    }
+    panic!("nobody took over");
+}
+
+fn slowest(pause_ms: u64) -> u64 {
+    (0..20).map(|phase| succession_ms(pause_ms, 10_000 + phase * 41)).max().expect("a run")
+}
+
+/// Guards against a large fleet that is without a leader for two leases, because no candidate was told of the last
+/// renewal before the leader froze.
+#[test]
+fn a_frozen_leader_is_replaced_when_its_lease_ends() {
+    let slowest_ms = slowest(candidate_pause_ms(MEMBERS));
+    assert!(slowest_ms <= LEASE_MS + SUCCESSION_MS, "{slowest_ms} ms");
+}
+
+/// The check must see candidates that hear of the leader as seldom as all others.
+#[test]
+fn candidates_that_report_seldom_are_caught() {
+    let slowest_ms = slowest(report_pause_ms(MEMBERS));
+    assert!(slowest_ms > LEASE_MS + SUCCESSION_MS, "{slowest_ms} ms");
+}
