gateway: who waited in vain for tokens comes back when a leader is due

Cause: a caller whose request had waited 1.5 s for a silent leader was told to come back after 450 ms, unless the gateway already counted itself as alone (2.95 s at 295 VMs). Most callers come back once; with a lease of 3 s to run out they did so in vain. Change: TokenWait tells the time until the next leader, from when the last one was heard. Test: who_waited_in_vain_comes_back_when_a_leader_is_due.

--- a/crates/cowslip-entry/src/token_wait.rs
+++ b/crates/cowslip-entry/src/token_wait.rs
@@ -4,6 +4,8 @@
 //! tokens soon. While the leader is lost nobody has refused anything, and the next one is due within a second or two: a
 //! refusal would only bring all callers back at once.
 
+use crate::leader_due_ms;
+
 /// Longest time in ms that a request waits for tokens which the leader does not grant.
 const GRANT_WAIT_MS: u64 = 450;
 
@@ -19,6 +21,8 @@
     pub refused_ms: u64,
     /// True when the present leader has answered a report that was sent since the request came.
     pub answered: bool,
+    /// Time in ms since a leader was last heard; `None` when none ever was.
+    pub silent_ms: Option<u64>,
 }
 
 impl TokenWait {
@@ -32,8 +36,13 @@
         self.waited_ms >= if self.answered { GRANT_WAIT_MS } else { LEADER_WAIT_MS }
     }
 
-    /// Time in ms after which the caller of a request that waited in vain should come back.
-    pub const fn retry_ms(&self) -> u64 {
-        if self.refused_ms > GRANT_WAIT_MS { self.refused_ms } else { GRANT_WAIT_MS }
+    /// Time in ms after which the caller of a request that waited in vain should come back: when the next leader is due, if
+    /// it waited for one whose lease is valid for `lease_ms`.
+    pub const fn retry_ms(&self, lease_ms: u64) -> u64 {
+        match self.silent_ms {
+            Some(silent_ms) if !self.answered => leader_due_ms(silent_ms, lease_ms),
+            _ if self.refused_ms > GRANT_WAIT_MS => self.refused_ms,
+            _ => GRANT_WAIT_MS,
+        }
     }
 }
--- a/crates/cowslip-entry/tests/entry/wait_cases.rs
+++ b/crates/cowslip-entry/tests/entry/wait_cases.rs
@@ -90,6 +90,22 @@
     #[case] refused: bool,
     #[case] over: bool,
 ) {
-    let wait = TokenWait { waited_ms, refused_ms, answered };
+    let wait = TokenWait { waited_ms, refused_ms, answered, silent_ms: Some(600) };
     assert_eq!((wait.is_refused(), wait.is_over()), (refused, over));
 }
+
+/// Guards against callers that come back once, and in vain, because the next leader is not there yet.
+#[rstest]
+#[case::lost_just_now(false, Some(1_500), 0, 2_300)]
+#[case::overdue(false, Some(9_000), 0, 500)]
+#[case::refused_for_long(true, Some(100), 900, 900)]
+#[case::none_ever_heard(false, None, 0, 450)]
+fn who_waited_in_vain_comes_back_when_a_leader_is_due(
+    #[case] answered: bool,
+    #[case] silent_ms: Option<u64>,
+    #[case] refused_ms: u64,
+    #[case] expected: u64,
+) {
+    let wait = TokenWait { waited_ms: 1_500, refused_ms, answered, silent_ms };
+    assert_eq!(wait.retry_ms(3_000), expected);
+}
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cowslip_adapter::{CallerHeaders, passes_to_upstream};
 use cowslip_entry::{
-    PurseStep, RouteKind, RouteRule, TeamRule, TokenNeed, TokenWait, WaitLimit, alone_after_ms, leader_due_ms,
+    PurseStep, RouteKind, RouteRule, TeamRule, TokenNeed, TokenWait, WaitLimit, alone_after_ms,
 };
 use cowslip_units::{ClockTime, ErrorKind};
 use http::header::HOST;
@@ -185,16 +185,14 @@
                 waited_ms: now.since_ms(begun_at),
                 refused_ms: tokens.refused_until.since_ms(now),
                 answered: lost_at.is_none() && heard.is_some_and(|at| at >= begun_at),
+                silent_ms: heard.map(|at| now.since_ms(at)),
             };
             if counted && wait.is_refused() {
                 break Err(RequestRefusal::new(ErrorKind::RateLimited)
                     .with_retry_after(limit.retry_after_ms(wait.refused_ms, now)));
             }
             if wait.is_over() || now >= limit.give_up_at() {
-                let wait_ms = match heard {
-                    Some(at) if alone => leader_due_ms(now.since_ms(at), LEASE_MS),
-                    _ => wait.retry_ms(),
-                };
+                let wait_ms = wait.retry_ms(LEASE_MS);
                 break Err(RequestRefusal::new(ErrorKind::RateLimited)
                     .with_retry_after(limit.retry_after_ms(wait_ms, now)));
             }
