gateway: nothing is sent by knowledge of upstreams that is older than a leaving one may be sent to

Gateways asked for themselves 0.5 s before the limit, and nothing was checked at the send.

UpstreamProof decides when the store is asked and whether a request may be sent; it is asked at the choice and again at the send. A gateway that the store has not answered for 0.7 s goes on with what it knows. Own calls without a leader do not wait for changes.

Tests: proof_cases.rs, slow_answers.rs (its first case needs the new time; without it the answer is cut).

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -2,7 +2,7 @@
 //! platform.
 //!
 //! - the operators' table: [`FleetConfig`], [`OperatorView`]
-//! - upstreams and the choice among them: [`UpstreamEntry`], [`KnownUpstream`], [`UpstreamBook`]
+//! - upstreams and the choice among them: [`UpstreamEntry`], [`KnownUpstream`], [`UpstreamBook`], [`UpstreamProof`]
 //! - limits kept by all gateways together: [`TokenPurse`] and [`GrantBook`], [`ColdGate`], [`RepeatBudget`]
 //! - how long a request may wait: [`WaitLimit`]
 //! - the leader's placement: [`DemandTable`], [`LoadPlanner`]
@@ -39,6 +39,7 @@
 mod token_wait;
 mod upstream_book;
 mod upstream_entry;
+mod upstream_proof;
 mod wait_limit;
 
 pub use adapter_plan::adapters_of;
@@ -75,4 +76,5 @@
 pub use token_wait::TokenWait;
 pub use upstream_book::{LAPSE_HOLD_MS, PickScope, UpstreamBook, UpstreamNews, UpstreamPick, WaitCause};
 pub use upstream_entry::{HeldModel, UpstreamEntry};
+pub use upstream_proof::UpstreamProof;
 pub use wait_limit::WaitLimit;
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -54,6 +54,8 @@
     Cold(u64),
     /// All have as many calls as they run at once.
     Full,
+    /// What is known of upstreams is too old to send by.
+    Unproven,
 }
 
 /// The outcome of a choice.
@@ -389,6 +391,7 @@
         WaitCause::Unsound => 3,
         WaitCause::Cold(_) => 4,
         WaitCause::Full => 5,
+        WaitCause::Unproven => 6,
     };
     match (left, right) {
         (WaitCause::Cold(left), WaitCause::Cold(right)) => WaitCause::Cold(left.min(right)),
--- /dev/null
+++ b/crates/cowslip-entry/src/upstream_proof.rs
@@ -0,0 +1,63 @@
+//! How fresh a gateway's knowledge of the upstreams is, and what its age allows.
+//!
+//! An upstream that leaves must get nothing new after a while, so requests are sent only by knowledge that is younger.
+//!
+//! Load this answers: a large fleet whose leader has fallen silent while many upstreams come and go. Each gateway then asks
+//! the store itself, before its knowledge is too old. One that the store does not answer goes on with what it knows:
+//! nobody could tell it more, and to refuse would stop all service whenever the store is down.
+
+use cowslip_units::ClockTime;
+
+/// Time in ms before the limit from which the store is asked: enough for a call that is not answered to be found out.
+const ASK_MARGIN_MS: u64 = 700;
+
+/// The same as a part of the limit, which is longer where VMs are many and small.
+const ASK_PART: u64 = 4;
+
+/// Time in ms before the limit from which nothing is sent: a request takes a while to arrive.
+const SEND_MARGIN_MS: u64 = 100;
+
+/// Time in ms without an answer to any call, from the first that failed, after which the store counts as out of reach.
+const SILENT_MS: u64 = 700;
+
+/// The proof of what is known of upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamProof {
+    proven_at: Option<ClockTime>,
+    failing_since: Option<ClockTime>,
+}
+
+impl UpstreamProof {
+    /// Send time of the store call, the own one or another gateway's, that last proved the knowledge.
+    pub fn proven_at(&self) -> Option<ClockTime> {
+        self.proven_at
+    }
+
+    /// A store call that was sent at `at` proved the knowledge.
+    pub fn prove(&mut self, at: ClockTime) {
+        self.proven_at = self.proven_at.max(Some(at));
+        self.failing_since = self.failing_since.filter(|since| *since > at);
+    }
+
+    /// An own call that was sent at `sent_at` has failed.
+    pub fn failed(&mut self, sent_at: ClockTime) {
+        let since = self.failing_since.unwrap_or(sent_at);
+        self.failing_since = self.proven_at.is_none_or(|at| since > at).then_some(since);
+    }
+
+    /// True when the store must be asked, where a leaving upstream may get requests for `limit_ms`.
+    pub fn is_due(&self, limit_ms: u64, now: ClockTime) -> bool {
+        let margin_ms = ASK_MARGIN_MS.max(limit_ms / ASK_PART);
+        self.proven_at.is_none_or(|at| now.since_ms(at) >= limit_ms.saturating_sub(margin_ms))
+    }
+
+    /// True when requests may be sent by what is known.
+    pub fn allows(&self, limit_ms: u64, now: ClockTime) -> bool {
+        let young = |at: ClockTime| now.plus_ms(SEND_MARGIN_MS).since_ms(at) < limit_ms;
+        self.proven_at.is_some_and(young) || self.out_of_reach(now)
+    }
+
+    fn out_of_reach(&self, now: ClockTime) -> bool {
+        self.failing_since.is_some_and(|since| now.since_ms(since) >= SILENT_MS)
+    }
+}
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod news_cases;
 mod planner_cases;
 mod planner_runs;
+mod proof_cases;
 mod rare_runs;
 mod view_cases;
 mod view_runs;
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -229,6 +229,9 @@
             }
             UpstreamPick::Wait(cause) => cause,
         };
+        if cause == WaitCause::Unproven {
+            gateway.follow_now.notify_waiters();
+        }
         flight.cause = Some(cause);
         let held = ticket.get_or_insert_with(|| begin_wait(gateway, flight, &admitted, now));
         if let Some(wait_ms) = too_long(gateway, flight, held.ticket, cause, begun_at, now) {
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -6,7 +6,7 @@
 use cowslip_adapter::{NodeSettings, StoreClient, StoreRow};
 use cowslip_entry::{
     ArrivalLine, ModelNeed, NewsMarks, OperatorView, PickScope, RepeatBudget, RequestNeed, RunningLine,
-    ServiceRule, StoreTrouble, TokenPurse, UpstreamBook, UpstreamPick, ViewStamp,
+    ServiceRule, StoreTrouble, TokenPurse, UpstreamBook, UpstreamPick, UpstreamProof, ViewStamp, WaitCause,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::ProcessClock;
@@ -95,8 +95,8 @@
     pub term: u64,
     /// Up to where its news are known.
     pub marks: NewsMarks,
-    /// Send time of the store call, the own one or the leader's, that last proved what is known of upstreams.
-    pub upstreams_at: Option<ClockTime>,
+    /// How fresh the knowledge of upstreams is.
+    pub upstream_proof: UpstreamProof,
     /// True when the leader knows a change of the operators' table that is not known here.
     pub behind: bool,
     /// When a store call last failed.
@@ -227,7 +227,7 @@
             upstreams_full: false,
             term: 0,
             marks: NewsMarks::default(),
-            upstreams_at: None,
+            upstream_proof: UpstreamProof::default(),
             behind: false,
             store_failed_at: None,
             store_trouble: StoreTrouble::default(),
@@ -259,7 +259,7 @@
             changed: self.view.changed(),
             age_ms: self.view.age_ms(now),
             upstream_version: self.upstream_version,
-            upstream_age_ms: self.upstreams_at.map(|at| now.since_ms(at)),
+            upstream_age_ms: self.upstream_proof.proven_at().map(|at| now.since_ms(at)),
         }
     }
 
@@ -278,6 +278,9 @@
         tried: &[UpstreamId],
         now: ClockTime,
     ) -> UpstreamPick {
+        if !self.upstream_proof.allows(settings.drain_ms, now) {
+            return UpstreamPick::Wait(WaitCause::Unproven);
+        }
         let scope = PickScope {
             service,
             domain: &settings.domain,
--- a/crates/cowslip-gateway/src/plan_duty.rs
+++ b/crates/cowslip-gateway/src/plan_duty.rs
@@ -65,7 +65,7 @@
         return Vec::new();
     };
     let fence = lead.fence;
-    let proven = state.upstreams_known.then_some((state.upstream_version, state.upstreams_at));
+    let proven = state.upstreams_known.then_some((state.upstream_version, state.upstream_proof.proven_at()));
     if !state.upstreams_full {
         // The weights' places are read from the store first. The others are told meanwhile what is known.
         lead.note(&state.book, proven, now);
--- a/crates/cowslip-gateway/src/request_context.rs
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -89,7 +89,7 @@
 }
 
 /// True when a request that was checked at `checked_at` may still be sent to an upstream. A connection takes time to be
-/// made, and the process may have been suspended meanwhile.
+/// made, and the process may have been suspended meanwhile: an upstream may have left, unknown to this gateway.
 pub(crate) fn may_send(
     gateway: &Gateway,
     context: &RequestContext,
@@ -101,7 +101,8 @@
     }
     let stays = {
         let state = gateway.lock();
-        let entry = state.book.get(upstream).map(|known| &known.entry);
+        let proven = state.upstream_proof.allows(gateway.settings.drain_ms, gateway.now());
+        let entry = state.book.get(upstream).map(|known| &known.entry).filter(|_| proven);
         entry.is_some_and(|entry| !entry.draining && !state.evacuated.contains(&entry.domain))
     };
     stays && admit(gateway, context).is_ok()
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -25,12 +25,8 @@
 /// Wait in ms of a call that follows the upstreams' table.
 const UPSTREAM_WAIT_MS: u64 = 700;
 
-/// A gateway asks the store itself when what the leader told is so many ms short of the time in which a leaving upstream
-/// must get nothing more.
-const OWN_CALL_MARGIN_MS: u64 = 500;
-
-/// The same for the time in which a configuration must be in force. It is longer, because a configuration of a thousand
-/// routes takes a small VM some time to read.
+/// A gateway asks the store itself when what the leader told is so many ms short of the time in which a configuration
+/// must be in force. A configuration of a thousand routes takes a small VM some time to read.
 const CONFIG_MARGIN_MS: u64 = 800;
 
 /// Time in ms for which a gateway without a leader collects changes of upstreams, for each member of the fleet and at
@@ -121,8 +117,7 @@
             FollowStep::Follow(state.view.version(), wait_ms)
         }
         FollowedTable::Upstreams => {
-            let own_call_ms = gateway.settings.drain_ms.saturating_sub(OWN_CALL_MARGIN_MS);
-            let informed = state.upstreams_at.is_some_and(|at| now.since_ms(at) < own_call_ms);
+            let informed = !state.upstream_proof.is_due(gateway.settings.drain_ms, now);
             let age_ms = now.since_ms(gateway.started_at);
             let patience_ms =
                 if state.leader_heard_at.is_some() { LEADER_TELLS_MS } else { LEADER_SEARCH_MS };
@@ -134,7 +129,8 @@
             if history_lost || state.upstream_version == 0 || (leads && !state.upstreams_full) {
                 return FollowStep::ReadAll;
             }
-            FollowStep::Follow(state.upstream_version, table.wait_ms())
+            // Without a leader the call is to prove what is known, and not to wait for news.
+            FollowStep::Follow(state.upstream_version, if leads { table.wait_ms() } else { 0 })
         }
     }
 }
@@ -167,7 +163,7 @@
                 pause_ms = PAUSE_MS.0;
             }
             Err(error) => {
-                gateway.lock().store_failed(sent_at, gateway.now());
+                follow_failed(&gateway, table, sent_at);
                 if !lost {
                     warn!(gateway.logger, "store_lost"; "table" => table.name(), "error" => %error);
                     lost = true;
@@ -179,6 +175,14 @@
     }
 }
 
+fn follow_failed(gateway: &Gateway, table: FollowedTable, sent_at: ClockTime) {
+    let mut state = gateway.lock();
+    state.store_failed(sent_at, gateway.now());
+    if table == FollowedTable::Upstreams {
+        state.upstream_proof.failed(sent_at);
+    }
+}
+
 /// Longest pause in ms after failed calls.
 fn longest_pause_ms(gateway: &Gateway) -> u64 {
     let state = gateway.lock();
@@ -301,7 +305,7 @@
         return;
     }
     state.upstream_version = rows.version;
-    state.upstreams_at = state.upstreams_at.max(Some(sent_at));
+    state.upstream_proof.prove(sent_at);
     state.upstreams_known = true;
     let hold = state.store_trouble.may_lapse(now);
     let mut seen: Vec<UpstreamId> = Vec::new();
@@ -430,6 +434,7 @@
     state.upstreams_full = false;
     state.upstreams_known = true;
     state.upstream_version = state.upstream_version.max(stamp.upstream_version);
-    let proven_at = stamp.upstream_age_ms.map(|age_ms| asked_at.minus_ms(age_ms));
-    state.upstreams_at = state.upstreams_at.max(proven_at);
+    if let Some(age_ms) = stamp.upstream_age_ms {
+        state.upstream_proof.prove(asked_at.minus_ms(age_ms));
+    }
 }
--- a/crates/cowslip-platform/src/http_caller.rs
+++ b/crates/cowslip-platform/src/http_caller.rs
@@ -54,6 +54,8 @@
 pub struct HttpCaller {
     client: Client<HttpConnector, Full<Bytes>>,
     max_answer_bytes: usize,
+    /// Time in ms for the rest of an answer that has begun, beyond the call's time-out where that ends earlier.
+    rest_ms: u64,
 }
 
 /// A failed attempt.
@@ -74,7 +76,7 @@
             .pool_idle_timeout(Duration::from_secs(IDLE_SECONDS))
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, max_answer_bytes: MAX_ANSWER_BYTES }
+        Self { client, max_answer_bytes: MAX_ANSWER_BYTES, rest_ms: 0 }
     }
 
     /// Sets the largest accepted answer in bytes.
@@ -84,6 +86,14 @@
         self
     }
 
+    /// Sets the time in ms for the rest of an answer that began within the time-out. A large answer takes a small VM
+    /// longer than the time in which a sound service begins to answer, and would be as large at the next call.
+    #[must_use]
+    pub const fn with_rest_ms(mut self, millis: u64) -> Self {
+        self.rest_ms = millis;
+        self
+    }
+
     /// Makes the call and returns status and body when the service carried it out (2xx) or answered 404.
     ///
     /// # Errors
@@ -144,6 +154,7 @@
             }
         };
         let status = response.status();
+        let deadline = deadline.max(Instant::now() + Duration::from_millis(self.rest_ms));
         let body = Limited::new(response.into_body(), self.max_answer_bytes);
         let body = match timeout_at(deadline, body.collect()).await {
             Ok(Ok(collected)) => collected.to_bytes(),
--- /dev/null
+++ b/crates/cowslip-platform/tests/slow_answers.rs
@@ -0,0 +1,61 @@
+//! Answers that begin in time and take long to arrive.
+
+#![allow(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_platform::{CallKind, CallRequest, HttpCaller, PlatformError};
+use http::Method;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+const TIMEOUT_MS: u64 = 200;
+
+/// Answers one call: the head after `head_ms`, the last bytes of the body after `rest_ms` more.
+async fn slow_server(head_ms: u64, rest_ms: u64) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 1024];
+        assert!(stream.read(&mut request).await.unwrap() > 0);
+        sleep(Duration::from_millis(head_ms)).await;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nrows").await.unwrap();
+        sleep(Duration::from_millis(rest_ms)).await;
+        // A caller that has given up is not there any more.
+        drop(stream.write_all(b"more").await);
+    });
+    address
+}
+
+/// Guards against a large answer that is cut by the time-out for a service that does not answer: the next call got the
+/// same answer and cut it again, and its caller knew of no change meanwhile. And against one that is awaited for ever.
+#[rstest]
+#[case::begun_in_time(0, 400, Some("rowsmore"))]
+#[case::begun_late(400, 0, None)]
+#[case::never_whole(0, 1_500, None)]
+#[tokio::test]
+async fn a_begun_answer_is_read_to_its_end(
+    #[case] head_ms: u64,
+    #[case] rest_ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let address = slow_server(head_ms, rest_ms).await;
+    let call = CallRequest {
+        kind: CallKind::Read,
+        method: Method::GET,
+        uri: format!("http://{address}/rows"),
+        body: Bytes::new(),
+        content_type: "application/json",
+    };
+    let outcome = HttpCaller::new().with_rest_ms(800).call_any(call, TIMEOUT_MS).await;
+    match (outcome, expected) {
+        (Ok((_, body)), Some(expected)) => assert_eq!(body, expected),
+        (Err(PlatformError::InDoubt(_)), None) => {}
+        (outcome, expected) => panic!("{outcome:?} instead of {expected:?}"),
+    }
+}
