gateway: upstreams that say they leave, or want nothing for a while, get nothing

An answer with the leaving header binds the VM that passed it on, whatever the store says; a 503 with Retry-After says for how long the upstream wants nothing from this VM.

Change: NoticeBook keeps what upstreams said of themselves, by their start, so that a late answer or an older entry changes nothing and only another start ends a leaving. It is asked at the choice, and again at the send of requests, orders and questions. Gateways report leaving upstreams to the leader, which plans nothing there and tells the others. Where all want nothing for longer than a caller waits, requests are refused at once; returns of VMs and callers are spread.

Metrics: notices by kind, upstreams_away. Log: upstream_notice.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::UpstreamEntry;
+use crate::{UpstreamEntry, UpstreamStart};
 
 /// How fresh a gateway's view of the store is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,6 +98,9 @@
     pub running: Vec<RunningLine>,
     /// Tokens asked for and given back.
     pub tokens: Vec<TokenAsk>,
+    /// Upstreams that have said to it that they leave.
+    #[serde(default)]
+    pub leaving: Vec<UpstreamStart>,
     /// True for a report between two usual ones, for requests that wait. It leaves the running calls out, and the answer
     /// tells only what such requests need: a leader of 85 gateways had no room on its link for more.
     pub brief: bool,
--- a/crates/cowslip-entry/src/leader_news.rs
+++ b/crates/cowslip-entry/src/leader_news.rs
@@ -62,8 +62,7 @@
     ) {
         self.whole_left = WHOLE_ANSWERS;
         self.members.sync(members.into_iter().map(|name| (name, ())));
-        let entries = book.all().iter().map(|known| (known.entry.id.clone(), known.entry.without_copies()));
-        self.upstreams.sync(entries);
+        self.upstreams.sync(book.told_entries().map(|entry| (entry.id.clone(), entry)));
         self.adapters.sync(engines.iter().map(|engine| (engine.entry.id.clone(), adapters_of(engine, now))));
     }
 
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -8,7 +8,7 @@
 mod plan_news;
 mod victim_choice;
 
-use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
+use cowslip_units::{ClockTime, ModelId, ServiceId, UpstreamId};
 
 use crate::model_answer::{DOUBT_MS, model_answered, task_left_ms};
 use crate::planned_engine::{EngineTask, TaskStage, load_ms};
@@ -90,11 +90,11 @@
         self.demand.heard(report, now);
     }
 
-    /// Takes the entries of all engines; those that are not named are gone.
+    /// Takes the entries of all engines; those that are not named are gone. Closed ones get no orders.
     pub fn sync<'a>(
         &mut self,
         entries: impl Iterator<Item = &'a UpstreamEntry>,
-        evacuated: &[DomainId],
+        is_closed: impl Fn(&UpstreamEntry) -> bool,
         now: ClockTime,
     ) {
         let mut entries: Vec<&UpstreamEntry> = entries.collect();
@@ -106,7 +106,7 @@
             let engine = known.next_if(|engine| engine.entry.id == entry.id);
             let mut engine = engine.unwrap_or_else(|| PlannedEngine::new(entry.clone(), now));
             engine.update(entry, now);
-            engine.closed = engine.entry.draining || evacuated.contains(&engine.entry.domain);
+            engine.closed = is_closed(&engine.entry);
             self.engines.push(engine);
         }
     }
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -62,7 +62,7 @@
     memory_known: bool,
     /// Adapters on their way, with the time at which they should be there.
     pub(crate) pending: Vec<(ModelId, SmolStr, ClockTime)>,
-    /// True while its domain is evacuated or it drains.
+    /// True while it gets no orders, because it leaves or its domain is evacuated.
     pub(crate) closed: bool,
 }
 
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -8,8 +8,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    AdapterName, ArrivalLine, ColdLimit, KnownUpstream, ModelNeed, PlaceLine, RequestNeed, ServiceRule,
-    UpstreamEntry, pair_weight, rank_of,
+    AdapterName, AnswerNotice, ArrivalLine, ColdLimit, KnownUpstream, ModelNeed, NoticeBook, PlaceLine,
+    RequestNeed, ServiceRule, UpstreamEntry, UpstreamStart, pair_weight, rank_of,
 };
 
 /// Time in ms for which entries that vanished with the store's trouble stay in use.
@@ -52,6 +52,8 @@
     Unsound,
     /// Those that could take it are cold; one may be sent to after so many ms.
     Cold(u64),
+    /// Those that could take it want nothing from this gateway for so many ms.
+    Away(u64),
     /// All have as many calls as they run at once.
     Full,
     /// What is known of upstreams is too old to send by.
@@ -103,6 +105,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamBook {
     upstreams: Vec<KnownUpstream>,
+    notices: NoticeBook,
 }
 
 impl UpstreamBook {
@@ -131,6 +134,42 @@
         self.upstreams.get_mut(at)
     }
 
+    /// The start of an upstream that a request sent now should reach.
+    pub fn start_of(&self, id: &UpstreamId) -> Option<UpstreamStart> {
+        let entry = &self.get(id)?.entry;
+        Some(UpstreamStart { id: entry.id.clone(), born: entry.born })
+    }
+
+    /// What upstreams have said of themselves to this gateway.
+    pub fn notices(&self) -> &NoticeBook {
+        &self.notices
+    }
+
+    /// Takes what an answer of an upstream said of it.
+    pub fn note(&mut self, start: &UpstreamStart, notice: AnswerNotice, now: ClockTime) {
+        self.notices.note(start, notice, now);
+    }
+
+    /// True when the upstream is known and may get something new at this moment, be it a request or an order.
+    pub fn accepts(&self, id: &UpstreamId, evacuated: &[DomainId], now: ClockTime) -> bool {
+        let entry = self.get(id).map(|known| &known.entry);
+        entry.is_some_and(|entry| !self.is_closed(entry, evacuated) && self.notices.away_ms(entry, now) == 0)
+    }
+
+    /// True when an upstream leaves or its domain is evacuated.
+    pub fn is_closed(&self, entry: &UpstreamEntry, evacuated: &[DomainId]) -> bool {
+        entry.draining || self.notices.leaves(entry) || evacuated.contains(&entry.domain)
+    }
+
+    /// The entries as other gateways are to see them.
+    pub fn told_entries(&self) -> impl Iterator<Item = UpstreamEntry> {
+        self.upstreams.iter().map(|known| {
+            let entry = known.entry.without_copies();
+            let draining = entry.draining || self.notices.leaves(&entry);
+            UpstreamEntry { draining, ..entry }
+        })
+    }
+
     /// Takes a new or newer entry; true when the upstream was not known.
     pub fn put(&mut self, entry: UpstreamEntry, now: ClockTime) -> bool {
         match self.find(&entry.id) {
@@ -297,7 +336,7 @@
     /// The engine that the session's requests prefer, among those that hold the model.
     fn preferred(&self, need: &RequestNeed, scope: &PickScope<'_>, now: ClockTime) -> u64 {
         let holders =
-            self.upstreams.iter().filter(|known| usable(known, need, scope) && holds(known, need, now));
+            self.upstreams.iter().filter(|known| self.usable(known, need, scope) && holds(known, need, now));
         let ranked = holders.max_by_key(|known| pair_weight(need.affinity, known.hash));
         ranked.map_or(0, |known| known.hash)
     }
@@ -309,7 +348,7 @@
         scope: &PickScope<'_>,
         now: ClockTime,
     ) -> Option<WaitCause> {
-        if !usable(known, need, scope) {
+        if !self.usable(known, need, scope) {
             return Some(WaitCause::NoUpstream);
         }
         if !holds(known, need, now) {
@@ -319,6 +358,10 @@
         if !known.is_sound(now) {
             return Some(WaitCause::Unsound);
         }
+        let away_ms = self.notices.away_ms(&known.entry, now);
+        if away_ms > 0 {
+            return Some(WaitCause::Away(away_ms));
+        }
         if known.is_cold(now) && scope.service.cold_per_s > 0.0 {
             let rank = rank_of(known.hash, scope.own, scope.members);
             let members = scope.members.len().max(1);
@@ -330,6 +373,18 @@
         }
         (known.total() >= most_calls(known, scope.service)).then_some(WaitCause::Full)
     }
+
+    fn usable(&self, known: &KnownUpstream, need: &RequestNeed, scope: &PickScope<'_>) -> bool {
+        let entry = &known.entry;
+        if entry.service != need.service || self.is_closed(entry, scope.evacuated) {
+            return false;
+        }
+        if need.regions.is_empty() {
+            return true;
+        }
+        let region = scope.regions.iter().find(|(domain, _)| *domain == entry.domain);
+        region.is_some_and(|(_, region)| need.regions.contains(region))
+    }
 }
 
 /// The model of a need without its adapter.
@@ -341,18 +396,6 @@
     need.model.as_ref().is_none_or(|model| known.holds(model, now))
 }
 
-fn usable(known: &KnownUpstream, need: &RequestNeed, scope: &PickScope<'_>) -> bool {
-    let entry = &known.entry;
-    if entry.service != need.service || entry.draining || scope.evacuated.contains(&entry.domain) {
-        return false;
-    }
-    if need.regions.is_empty() {
-        return true;
-    }
-    let region = scope.regions.iter().find(|(domain, _)| *domain == entry.domain);
-    region.is_some_and(|(_, region)| need.regions.contains(region))
-}
-
 /// Most calls of the fleet that an upstream gets.
 fn most_calls(known: &KnownUpstream, service: &ServiceRule) -> u32 {
     match &service.engine {
@@ -389,12 +432,14 @@
         WaitCause::NoModel => 1,
         WaitCause::NoAdapter => 2,
         WaitCause::Unsound => 3,
-        WaitCause::Cold(_) => 4,
-        WaitCause::Full => 5,
-        WaitCause::Unproven => 6,
+        WaitCause::Away(_) => 4,
+        WaitCause::Cold(_) => 5,
+        WaitCause::Full => 6,
+        WaitCause::Unproven => 7,
     };
     match (left, right) {
         (WaitCause::Cold(left), WaitCause::Cold(right)) => WaitCause::Cold(left.min(right)),
+        (WaitCause::Away(left), WaitCause::Away(right)) => WaitCause::Away(left.min(right)),
         (left, right) if rank(&right) > rank(&left) => right,
         (left, _) => left,
     }
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod limit_runs;
 mod names;
 mod news_cases;
+mod notice_cases;
 mod planner_cases;
 mod planner_runs;
 mod proof_cases;
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -28,7 +28,7 @@
     /// Steps until nothing more is to be asked; questions are answered with what the entries say.
     fn orders(&mut self, millis: u64) -> Vec<EngineOrder> {
         let now = at(millis);
-        self.planner.sync(self.entries.iter(), &[], now);
+        self.planner.sync(self.entries.iter(), |entry| entry.draining, now);
         let mut orders = Vec::new();
         for step in self.planner.step(&self.services, now) {
             match step {
@@ -51,7 +51,7 @@
 
     /// One step of the plan, with nothing answered.
     fn steps(&mut self, millis: u64) -> Vec<PlanStep> {
-        self.planner.sync(self.entries.iter(), &[], at(millis));
+        self.planner.sync(self.entries.iter(), |entry| entry.draining, at(millis));
         self.planner.step(&self.services, at(millis))
     }
 
--- a/crates/cowslip-entry/tests/entry/planner_runs.rs
+++ b/crates/cowslip-entry/tests/entry/planner_runs.rs
@@ -197,7 +197,7 @@
         }
         planner.heard(GatewayReport { gateway: "g".into(), demand, ..GatewayReport::default() }, now);
         let entries: Vec<UpstreamEntry> = engines.iter().map(|engine| engine.entry.clone()).collect();
-        planner.sync(entries.iter(), &[], now);
+        planner.sync(entries.iter(), |entry| entry.draining, now);
         for step in planner.step(&services, now) {
             match step {
                 PlanStep::Ask(id, _) => {
--- a/crates/cowslip-entry/tests/entry/rare_runs.rs
+++ b/crates/cowslip-entry/tests/entry/rare_runs.rs
@@ -266,7 +266,11 @@
     }
 
     fn plan(&mut self, millis: u64) {
-        self.planner.sync(self.engines.iter().map(|engine| &engine.entry), &[], at(millis));
+        self.planner.sync(
+            self.engines.iter().map(|engine| &engine.entry),
+            |entry| entry.draining,
+            at(millis),
+        );
         for step in self.planner.step(&self.services, at(millis)) {
             match step {
                 PlanStep::Ask(id, _) => self.asks.push((millis + 2 * HOP_MS, id.as_str().to_owned())),
--- a/crates/cowslip-gateway/src/caller_server.rs
+++ b/crates/cowslip-gateway/src/caller_server.rs
@@ -167,6 +167,8 @@
     gateway.metrics.view_age_ms.set(age_ms);
     gateway.metrics.waiting.set(i64::try_from(state.waiting.len()).unwrap_or(i64::MAX));
     gateway.metrics.running.set(i64::from(state.active));
+    let away = state.book.notices().away_count(gateway.now());
+    gateway.metrics.away.set(i64::try_from(away).unwrap_or(i64::MAX));
 }
 
 /// True when new connections may come: the view is fresh, and the gateway is not stopping.
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_entry::{ModelNeed, RequestNeed, RouteKind, UpstreamPick, WaitCause, WaitLimit, text_hash};
+use cowslip_entry::{
+    ModelNeed, RequestNeed, RouteKind, UpstreamPick, WaitCause, WaitLimit, spread_ms, text_hash,
+};
 use cowslip_units::{ClockTime, ErrorKind, ServiceId, UpstreamId};
 use http::Response;
 use slog::{info, warn};
@@ -252,7 +254,7 @@
             });
         }
         let look_ms = match cause {
-            WaitCause::Cold(wait_ms) => wait_ms.clamp(1, LOOK_MS),
+            WaitCause::Cold(wait_ms) | WaitCause::Away(wait_ms) => wait_ms.clamp(1, LOOK_MS),
             WaitCause::NoModel | WaitCause::NoAdapter => {
                 let next = gateway.lock().book.next_place_ms(&flight.need, now);
                 next.map_or(LOOK_MS, |wait_ms| wait_ms.clamp(1, LOOK_MS))
@@ -301,8 +303,9 @@
     now: ClockTime,
 ) -> Option<u64> {
     let mut state = gateway.lock();
-    // More replicas help where none is held, and where those that are held are full.
-    let placement = matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter | WaitCause::Full);
+    // More replicas help where none is held, and where those that are held are full or want nothing.
+    let placement =
+        matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter | WaitCause::Away(_) | WaitCause::Full);
     let unplaced = placement && flight.need.model.is_some();
     if state.set_unplaced(ticket, unplaced) {
         gateway.report_now.notify_one();
@@ -312,6 +315,8 @@
     let wait_ms = match cause {
         WaitCause::NoModel => arrival.unwrap_or(0),
         WaitCause::Cold(wait_ms) => wait_ms,
+        // All that waited, here and elsewhere, would come back in one moment.
+        WaitCause::Away(wait_ms) => spread_ms(wait_ms, ticket),
         _ => 0,
     };
     if flight.limit.hopeless(wait_ms, now) || now >= flight.limit.give_up_at() {
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -19,6 +19,13 @@
     pub outcome: &'static str,
 }
 
+/// What an upstream said of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct NoticeLabels {
+    /// That it leaves, or that it wants nothing for a while.
+    pub kind: &'static str,
+}
+
 /// All metrics of a gateway. Labels come from closed lists, so their number is bounded.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -29,6 +36,8 @@
     pub sends: Family<OutcomeLabels, Counter>,
     /// Calls to the store, by call and outcome.
     pub store_calls: Family<OutcomeLabels, Counter>,
+    /// What upstreams said of themselves in answers, by kind.
+    pub notices: Family<NoticeLabels, Counter>,
     /// Orders to engines, by action and answer.
     pub orders: Family<OutcomeLabels, Counter>,
     /// Reports to the leader, by outcome.
@@ -47,6 +56,8 @@
     pub waiting: Gauge,
     /// Requests that run.
     pub running: Gauge,
+    /// Upstreams that want nothing from this gateway now.
+    pub away: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64, AtomicU64>,
     /// Age of the view in ms.
@@ -68,6 +79,7 @@
             requests: Family::default(),
             sends: Family::default(),
             store_calls: Family::default(),
+            notices: Family::default(),
             orders: Family::default(),
             reports: Family::default(),
             resumes: Counter::default(),
@@ -77,6 +89,7 @@
             violations: Counter::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
+            away: Gauge::default(),
             config_version: Gauge::default(),
             view_age_ms: Gauge::default(),
             first_byte_s: times(),
@@ -92,6 +105,7 @@
         registry.register("requests", "Requests by kind and outcome", self.requests.clone());
         registry.register("sends", "Sends to upstreams by kind and outcome", self.sends.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("notices", "What upstreams said of themselves", self.notices.clone());
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("reports", "Reports to the leader", self.reports.clone());
         registry.register("resumes", "Streams resumed at another upstream", self.resumes.clone());
@@ -100,6 +114,7 @@
         registry.register("log_lines_left_out", "Log lines left out", self.lines_left_out.clone());
         registry.register("violations", "Assertions that failed", self.violations.clone());
         registry.register("waiting", "Requests that wait for an upstream", self.waiting.clone());
+        registry.register("upstreams_away", "Upstreams that want nothing now", self.away.clone());
         registry.register("running", "Requests that run", self.running.clone());
         registry.register("config_version", "Version of the configuration", self.config_version.clone());
         registry.register("view_age_milliseconds", "Age of the view", self.view_age_ms.clone());
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cowslip_entry::{
-    GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy, candidate_pause_ms, heard_ms,
-    last_renewal, report_pause_ms, urgent_pause_ms,
+    AnswerNotice, GatewayReport, LeaderAnswer, LeaseNews, TeamRoom, TokenGrantLine, ViewCopy,
+    candidate_pause_ms, heard_ms, last_renewal, report_pause_ms, urgent_pause_ms,
 };
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
 use cowslip_units::{ClockTime, TeamId};
@@ -85,6 +85,10 @@
     if let Some(config) = &config {
         lead.grants.configure(config.teams(), now);
     }
+    let leaving = AnswerNotice { leaving: true, away_ms: None };
+    for start in &report.leaving {
+        state.book.note(start, leaving, now);
+    }
     let services = config.as_ref().map_or(&[][..], |config| config.services());
     let answer = lead.answer(report, services, view, lease, own, now);
     // The next plan lets more gateways be told everything.
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod request_refusal;
 mod store_follow;
 mod stream_relay;
+mod upstream_notice;
 mod upstream_pool;
 mod upstream_request;
 
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -1,13 +1,14 @@
 //! One call whose answer is read whole, checked, and passed on unchanged.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cowslip_adapter::header_names::{ATTEMPT_ID, NOT_RUN, SEAL};
 use cowslip_adapter::{keep_alive_s, passes_to_caller, told_load};
-use cowslip_entry::RouteKind;
+use cowslip_entry::{RouteKind, UpstreamStart};
 use cowslip_units::{ErrorKind, UpstreamId};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap};
 use http::{Response, StatusCode};
@@ -19,6 +20,7 @@
 use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, has_alternative};
 use crate::gateway_state::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext, may_send};
+use crate::upstream_notice::note_notice;
 use crate::upstream_pool::{SendFault, UpstreamConnection};
 use crate::upstream_request::upstream_request;
 
@@ -56,6 +58,31 @@
     if sealed && !headers.contains_key(CONTENT_ENCODING) { HeadCheck::Sound } else { HeadCheck::Foreign }
 }
 
+/// Where a request to an upstream goes, and which start of it should answer.
+pub(crate) fn send_target(gateway: &Gateway, upstream: &UpstreamId) -> Option<(SocketAddr, UpstreamStart)> {
+    let state = gateway.lock();
+    let address = state.book.get(upstream)?.entry.address;
+    Some((address, state.book.start_of(upstream)?))
+}
+
+/// Checks the head of an answer, and takes note of what it says of its upstream, unless it is not an answer to this
+/// request.
+pub(crate) fn noted_head(
+    gateway: &Gateway,
+    context: &RequestContext,
+    start: &UpstreamStart,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> HeadCheck {
+    let check = check_head(context, status, headers);
+    let attempt = &context.caller.attempt;
+    let echoed = headers.get(ATTEMPT_ID).is_some_and(|echoed| echoed.as_bytes() == attempt.as_bytes());
+    if check != HeadCheck::Foreign || echoed {
+        note_notice(gateway, Some(start), status, headers, attempt);
+    }
+    check
+}
+
 /// Makes a plain call.
 pub(crate) async fn plain_call(
     gateway: &Arc<Gateway>,
@@ -66,9 +93,7 @@
     guard: CallGuard,
 ) -> SendOutcome {
     let sent_at = gateway.now();
-    let Some(address) = gateway.lock().book.get(upstream).map(|known| known.entry.address) else {
-        return SendOutcome::NotSent;
-    };
+    let Some((address, start)) = send_target(gateway, upstream) else { return SendOutcome::NotSent };
     let Ok(request) = upstream_request(context, admitted, &flight.limit, upstream, None, sent_at) else {
         return SendOutcome::NotSent;
     };
@@ -81,7 +106,7 @@
         let (response, connection) = gateway.pool.send(address, request, allowed).await?;
         let first_ms = gateway.now().since_ms(sent_at);
         let (parts, body) = response.into_parts();
-        Ok(match check_head(context, parts.status, &parts.headers) {
+        Ok(match noted_head(gateway, context, &start, parts.status, &parts.headers) {
             HeadCheck::NotRun(misplaced) => {
                 refused(gateway, connection, body, &parts.headers, context).await;
                 SendOutcome::NotRun(misplaced)
--- a/crates/cowslip-gateway/src/plan_duty.rs
+++ b/crates/cowslip-gateway/src/plan_duty.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
+use crate::upstream_notice::note_notice;
 use crate::upstream_pool::SendFault;
 
 /// Longest pause in ms between two plans.
@@ -40,6 +41,14 @@
     lease.as_ref().and_then(|lease| lease.epoch(gateway.now())) == Some(fence)
 }
 
+/// True when an engine may be asked or ordered something at this moment: one that wants nothing for a while, wants no
+/// orders and questions either.
+fn accepts(gateway: &Gateway, upstream: &UpstreamId) -> bool {
+    let state = gateway.lock();
+    let entry = state.book.get(upstream).map(|known| &known.entry);
+    entry.is_some_and(|entry| state.book.notices().away_ms(entry, gateway.now()) == 0)
+}
+
 /// Plans and sends orders while this gateway leads.
 pub(crate) async fn plan_loop(gateway: Arc<Gateway>) {
     loop {
@@ -75,7 +84,8 @@
         config.service(&entry.service).is_some_and(|service| service.engine.is_some())
     };
     let entries = state.book.all().iter().map(|known| &known.entry).filter(is_engine);
-    lead.planner.sync(entries, &state.evacuated, now);
+    let is_closed = |entry: &UpstreamEntry| !state.book.accepts(&entry.id, &state.evacuated, now);
+    lead.planner.sync(entries, is_closed, now);
     let steps = lead.planner.step(config.services(), now);
     lead.note(&state.book, proven, now);
     steps.into_iter().map(|step| (step, fence)).collect()
@@ -159,10 +169,13 @@
         .body(Full::new(Bytes::from(body)));
     let Ok(request) = request else { return OrderAnswer::Refused };
     let call = async {
-        match gateway.pool.send(order.address, request, || leads_now(gateway, fence)).await {
+        let start = gateway.lock().book.start_of(&order.upstream);
+        let allowed = || leads_now(gateway, fence) && accepts(gateway, &order.upstream);
+        match gateway.pool.send(order.address, request, allowed).await {
             // A copy of the answer to a request that the connection carried before.
             Ok((response, _)) if response.headers().contains_key(ATTEMPT_ID) => OrderAnswer::InDoubt,
             Ok((response, connection)) => {
+                note_notice(gateway, start.as_ref(), response.status(), response.headers(), "order");
                 let status = response.status().as_u16();
                 let keep = cowslip_adapter::keep_alive_s(response.headers());
                 if Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.is_ok() {
@@ -185,8 +198,14 @@
         .body(Full::new(Bytes::new()))
         .ok()?;
     let call = async {
-        let (response, connection) = gateway.pool.send(address, request, || true).await.ok()?;
-        let ok = response.status().is_success() && !response.headers().contains_key(ATTEMPT_ID);
+        let start = gateway.lock().book.start_of(upstream);
+        let allowed = || accepts(gateway, upstream);
+        let (response, connection) = gateway.pool.send(address, request, allowed).await.ok()?;
+        let own = !response.headers().contains_key(ATTEMPT_ID);
+        if own {
+            note_notice(gateway, start.as_ref(), response.status(), response.headers(), "report");
+        }
+        let ok = own && response.status().is_success();
         let keep = cowslip_adapter::keep_alive_s(response.headers());
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
         if ok {
--- a/crates/cowslip-gateway/src/report_draft.rs
+++ b/crates/cowslip-gateway/src/report_draft.rs
@@ -42,6 +42,7 @@
             demand,
             running: if brief { Vec::new() } else { self.running.clone() },
             tokens,
+            leaving: self.book.notices().leaving().cloned().collect(),
             brief,
         }
     }
--- a/crates/cowslip-gateway/src/request_context.rs
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -18,7 +18,7 @@
 /// Age in ms of the view from which an unknown key or route may be one that came since.
 const OLD_VIEW_MS: u64 = 2_000;
 
-/// Time in ms for which a check before a send holds while the connection is made.
+/// Time in ms for which the check of route and key holds while the connection is made.
 const CHECK_HOLDS_MS: u64 = 50;
 
 /// A request.
@@ -89,21 +89,20 @@
 }
 
 /// True when a request that was checked at `checked_at` may still be sent to an upstream. A connection takes time to be
-/// made, and the process may have been suspended meanwhile: an upstream may have left, unknown to this gateway.
+/// made, and the process may have been suspended meanwhile: the upstream may leave by now, or want nothing for a while.
 pub(crate) fn may_send(
     gateway: &Gateway,
     context: &RequestContext,
     upstream: &UpstreamId,
     checked_at: ClockTime,
 ) -> bool {
-    if gateway.now().since_ms(checked_at) < CHECK_HOLDS_MS {
-        return true;
-    }
-    let stays = {
+    let now = gateway.now();
+    {
         let state = gateway.lock();
-        let proven = state.upstream_proof.allows(gateway.settings.drain_ms, gateway.now());
-        let entry = state.book.get(upstream).map(|known| &known.entry).filter(|_| proven);
-        entry.is_some_and(|entry| !entry.draining && !state.evacuated.contains(&entry.domain))
-    };
-    stays && admit(gateway, context).is_ok()
+        let proven = state.upstream_proof.allows(gateway.settings.drain_ms, now);
+        if !proven || !state.book.accepts(upstream, &state.evacuated, now) {
+            return false;
+        }
+    }
+    now.since_ms(checked_at) < CHECK_HOLDS_MS || admit(gateway, context).is_ok()
 }
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -390,7 +390,7 @@
     ViewCopy {
         view: state.stamp(now),
         operator_rows: copied(&state.operator_rows),
-        upstreams: state.book.all().iter().map(|known| known.entry.without_copies()).collect(),
+        upstreams: state.book.told_entries().collect(),
         held: state.book.held(now),
     }
 }
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -20,8 +20,8 @@
 use crate::dispatch::{CallGuard, RequestFlight, SendOutcome, choose, has_alternative, may_repeat};
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
-    HeadCheck, caller_answer, check_head, note_answer, put_back, read_whole, refused, unanswered,
-    with_patience,
+    HeadCheck, caller_answer, note_answer, noted_head, put_back, read_whole, refused, send_target,
+    unanswered, with_patience,
 };
 use crate::request_context::{AdmittedRequest, RequestContext, admit, may_send};
 use crate::upstream_pool::UpstreamConnection;
@@ -203,8 +203,7 @@
     guard: CallGuard,
 ) -> Result<EventSource, SendOutcome> {
     let now = gateway.now();
-    let address = gateway.lock().book.get(upstream).map(|known| known.entry.address);
-    let address = address.ok_or(SendOutcome::NotSent)?;
+    let (address, start) = send_target(gateway, upstream).ok_or(SendOutcome::NotSent)?;
     let last_event = flight.last_event.as_deref();
     let request = upstream_request(context, admitted, &flight.limit, upstream, last_event, now);
     let request = request.map_err(|_| SendOutcome::NotSent)?;
@@ -212,7 +211,7 @@
     let sent = gateway.pool.send(address, request, allowed).await;
     let (response, connection) = sent.map_err(|fault| unanswered(&fault))?;
     let (parts, body) = response.into_parts();
-    match check_head(context, parts.status, &parts.headers) {
+    match noted_head(gateway, context, &start, parts.status, &parts.headers) {
         HeadCheck::NotRun(misplaced) => {
             refused(gateway, connection, body, &parts.headers, context).await;
             Err(SendOutcome::NotRun(misplaced))
--- /dev/null
+++ b/crates/cowslip-gateway/src/upstream_notice.rs
@@ -0,0 +1,37 @@
+//! Takes note of what an answer's head says of its upstream.
+
+use cowslip_adapter::told_notice;
+use cowslip_entry::{AnswerNotice, UpstreamStart, pair_weight, spread_ms, text_hash};
+use http::{HeaderMap, StatusCode};
+use slog::info;
+
+use crate::gateway_metrics::NoticeLabels;
+use crate::gateway_state::Gateway;
+
+/// Takes note of it. `start` is the start of the upstream that the request was sent to, so that an answer that took long
+/// says nothing of a later one; `asked` tells what was asked, an attempt's id for a request.
+pub(crate) fn note_notice(
+    gateway: &Gateway,
+    start: Option<&UpstreamStart>,
+    status: StatusCode,
+    headers: &HeaderMap,
+    asked: &str,
+) {
+    let told = told_notice(status, headers);
+    let Some(start) = start.filter(|_| !told.is_empty()) else { return };
+    let own = text_hash(&gateway.settings.name);
+    let draw = pair_weight(own, text_hash(start.id.as_str()));
+    // Each VM comes back at a time of its own.
+    let notice = AnswerNotice { away_ms: told.away_ms.map(|away_ms| spread_ms(away_ms, draw)), ..told };
+    gateway.lock().book.note(start, notice, gateway.now());
+    if notice.leaving {
+        gateway.metrics.notices.get_or_create(&NoticeLabels { kind: "leaving" }).inc();
+    }
+    if notice.away_ms.is_some() {
+        gateway.metrics.notices.get_or_create(&NoticeLabels { kind: "away" }).inc();
+    }
+    if gateway.may_log() {
+        info!(gateway.logger, "upstream_notice"; "request" => asked, "upstream" => %start.id, "born" => start.born,
+            "status" => status.as_u16(), "leaving" => notice.leaving, "away_ms" => notice.away_ms);
+    }
+}
