lease: a VM that replaces its own process orders at once, and a leader that stops gives its lease up

The row is written at once, and the gap counts from then.

Ruled out: the store (it answered the reads of the row all the while).

Tests: a_process_knows_how_long_its_predecessor_has_led, a_holder_that_gave_up_has_acted_until_then, a_leader_that_stops_gives_its_lease_up (fails before: the row is held after 600 ms).

--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -61,8 +61,11 @@
     highest_epoch: FenceNumber,
     /// Version of the holder's row and when it was renewed, as the holder told.
     told: Option<(u64, ClockTime)>,
-    /// When the row of the holder before was first seen; its last renewal was sent before that.
-    taken_from: Option<ClockTime>,
+    /// Until when the holder before may have acted: a lease's time after its row was first seen, which is later than its
+    /// last renewal, or when the row was first seen that it had given the lease up.
+    earlier_until: Option<ClockTime>,
+    /// Time in ms for which an earlier process of this VM held the lease at least that this one took over.
+    own_held_ms: Option<u64>,
     /// Members of the fleet to write with the next renewal.
     members: u32,
     /// True when an earlier process of this VM has ended for sure once this one runs.
@@ -83,7 +86,8 @@
             next_at: ClockTime::ZERO,
             highest_epoch: FenceNumber::ZERO,
             told: None,
-            taken_from: None,
+            earlier_until: None,
+            own_held_ms: None,
             members: 0,
             replaces_own: false,
         }
@@ -138,7 +142,13 @@
     pub fn earlier_until(&self, now: ClockTime) -> Option<ClockTime> {
         let seen = self.seen.as_ref()?;
         let first = seen.row.epoch.get() <= 1;
-        (!first).then(|| self.taken_from.map_or(now, |since| since.plus_ms(self.times.valid_ms)))
+        (!first).then(|| self.earlier_until.unwrap_or_else(|| now.plus_ms(self.times.valid_ms)))
+    }
+
+    /// Time in ms for which the earlier process of this VM held the lease at least that this one took over; `None` when
+    /// another VM held it before. No other VM has acted for so long.
+    pub fn own_held_ms(&self) -> Option<u64> {
+        self.own_held_ms
     }
 
     /// The epoch in which this process may act as leader now; `None` when it must not act.
@@ -182,6 +192,11 @@
         }
     }
 
+    /// True while the lease is being given up: the row has not said so yet.
+    pub fn is_releasing(&self) -> bool {
+        self.role == LeaseRole::Releasing
+    }
+
     /// True when nothing of the lease is left to give up.
     pub fn is_released(&self) -> bool {
         self.role == LeaseRole::Released
@@ -223,7 +238,7 @@
     fn free_from(&self, seen: &SeenRow) -> ClockTime {
         match &seen.row.holder {
             None => seen.since,
-            Some(holder) if self.replaces_own && holder.vm == self.own.vm => seen.since,
+            Some(_) if self.replaces_own && seen.row.is_held_by(&self.own.vm) => seen.since,
             Some(_) => seen.since.plus_ms(self.times.takeover_ms),
         }
     }
@@ -310,8 +325,7 @@
         let since = same.map_or(now, |seen| seen.since).min(told.unwrap_or(now));
         let own = row.holder.as_ref() == Some(&self.own);
         if own && self.role == LeaseRole::Candidate {
-            // A released row says that its holder had stopped by the time it was first seen.
-            self.taken_from = self.seen.as_ref().map(|seen| seen.since);
+            self.note_earlier();
         }
         if own {
             self.hold(&row);
@@ -329,6 +343,15 @@
         };
     }
 
+    /// Takes note of the holder before, as this process takes the lease over.
+    fn note_earlier(&mut self) {
+        let Some(before) = &self.seen else { return };
+        let acts_ms = if before.row.holder.is_some() { self.times.valid_ms } else { 0 };
+        let own = self.replaces_own && before.row.is_held_by(&self.own.vm);
+        self.earlier_until = Some(before.since.plus_ms(acts_ms));
+        self.own_held_ms = own.then(|| before.row.renewals * self.times.renew_ms);
+    }
+
     fn candidate_at(&self, now: ClockTime) -> ClockTime {
         let poll = self.step_at.plus_ms(self.times.poll_ms);
         match &self.seen {
--- a/crates/cowslip-fleet/src/lease_row.rs
+++ b/crates/cowslip-fleet/src/lease_row.rs
@@ -29,3 +29,10 @@
     #[serde(default, skip_serializing_if = "is_zero")]
     pub members: u32,
 }
+
+impl LeaseRow {
+    /// True when a process of that VM holds the lease.
+    pub fn is_held_by(&self, vm: &VmId) -> bool {
+        self.holder.as_ref().is_some_and(|holder| holder.vm == *vm)
+    }
+}
--- a/crates/cowslip-fleet/tests/fleet/lease_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_cases.rs
@@ -1,7 +1,8 @@
 //! The leader lease in single faults.
 
 use cowslip_fleet::{
-    LEASE_KEY, LEASE_TAKEOVER_MS, LEASE_VALID_MS, LeaderLease, LeaseHolder, LeaseRow, LeaseStep,
+    LEASE_KEY, LEASE_RENEW_MS, LEASE_TAKEOVER_MS, LEASE_VALID_MS, LeaderLease, LeaseHolder, LeaseRow,
+    LeaseStep,
 };
 use cowslip_platform::{PlatformError, TableTransaction};
 use cowslip_units::FenceNumber;
@@ -164,6 +165,40 @@
     }
 }
 
+/// After a kill of all processes no model was loaded for six seconds, although no other VM had sent an order. How long the
+/// earlier process of the VM has led counts from its renewals; another VM's time does not count.
+#[rstest]
+#[case::same_vm("vm", 5, Some(5 * LEASE_RENEW_MS))]
+#[case::just_begun("vm", 0, Some(0))]
+#[case::other_vm("vm2", 5, None)]
+fn a_process_knows_how_long_its_predecessor_has_led(
+    #[case] vm: &str,
+    #[case] renewals: u64,
+    #[case] held_ms: Option<u64>,
+) {
+    let (mut killed, mut table) = (controller_of("vm", "a"), FakeTable::default());
+    for number in 0..=renewals {
+        settle(&mut killed, &mut table, number * LEASE_RENEW_MS);
+    }
+    let mut next = controller_of(vm, "b").with_replaced_predecessor();
+    let begun_ms = renewals * LEASE_RENEW_MS + 300;
+    settle(&mut next, &mut table, begun_ms);
+    settle(&mut next, &mut table, begun_ms + LEASE_TAKEOVER_MS);
+    assert!(next.is_leader(at(begun_ms + LEASE_TAKEOVER_MS)) || vm == "vm");
+    assert_eq!(next.own_held_ms(), held_ms);
+}
+
+/// Guards against a new holder that waits for the lease of one that has given it up.
+#[test]
+fn a_holder_that_gave_up_has_acted_until_then() {
+    let (mut holder, mut next, mut table) = (controller("a"), controller("b"), FakeTable::default());
+    settle(&mut holder, &mut table, 0);
+    holder.release(at(100));
+    settle(&mut holder, &mut table, 100);
+    settle(&mut next, &mut table, 250);
+    assert_eq!(next.earlier_until(at(250)), Some(at(250)));
+}
+
 /// The version of the lease row as a candidate would read it now.
 fn row_version(table: &FakeTable) -> u64 {
     table.read(LEASE_KEY).expect("a row").version
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use cowslip_adapter::NodeSettings;
 use cowslip_entry::{GrantBook, LoadPlanner, heard_ms, rank_of};
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
 use cowslip_platform::{RowValue, TableService};
@@ -142,7 +143,9 @@
             state.leader_heard_at.is_some_and(|at| now.since_ms(at) < silent_ms)
         }
     };
-    heard && !lease.is_leader(now) && state.lead.is_none()
+    // A leader that stops has heard itself until now.
+    let holds = lease.is_leader(now) || lease.is_releasing();
+    heard && !holds && state.lead.is_none()
 }
 
 fn learn_leader(gateway: &Gateway, lease: &LeaderLease) {
@@ -160,6 +163,17 @@
     }
 }
 
+/// When this gateway may send orders as a new leader. An engine must not get orders of two VMs within the required gap; a
+/// VM that restarts and has led long enough before is the only one that has sent any.
+fn orders_from(settings: &NodeSettings, lease: &LeaderLease, now: ClockTime) -> ClockTime {
+    let gap_ms = settings.order_gap_ms + GAP_MARGIN_MS;
+    let alone = lease.own_held_ms().is_some_and(|held_ms| held_ms >= LEASE_MS + gap_ms);
+    match lease.earlier_until(now) {
+        Some(until) if !alone => until.plus_ms(gap_ms).max(now),
+        _ => now,
+    }
+}
+
 /// Begins or ends the duties as the lease says.
 fn settle_lead(gateway: &Gateway, lease: &LeaderLease, now: ClockTime) {
     let epoch = lease.epoch(now);
@@ -167,8 +181,7 @@
     match (epoch, &state.lead) {
         (Some(fence), None) => {
             let earlier = lease.earlier_until(now);
-            let gap_ms = gateway.settings.order_gap_ms + GAP_MARGIN_MS;
-            let orders_from = earlier.map_or(now, |until| until.plus_ms(gap_ms));
+            let orders_from = orders_from(&gateway.settings, lease, now);
             let settings = &gateway.settings;
             let slack = (settings.rate_tolerance as f64 * TOLERANCE_PART) as u64;
             let grants = GrantBook::new(settings.rate_window_ms, slack, earlier.is_some(), now);
