leader plan: a load from memory or disk ends when it is expected; log lines name the route

Change: such a load counts as done 20 ms after its expected end and is confirmed beside other orders. Lines of answered, given up and token-refused requests name the route and its objective, which the account of losses needs.

Tests: a_near_load_ends_when_it_is_expected, a_load_taken_as_done_is_confirmed.

--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -10,7 +10,7 @@
 
 use cowslip_units::{ClockTime, ModelId, ServiceId, UpstreamId};
 
-use crate::model_answer::{DOUBT_MS, model_answered, task_left_ms};
+use crate::model_answer::{model_answered, task_left_ms};
 use crate::planned_engine::{EngineTask, TaskStage, load_ms};
 use crate::store_slots::{LoadCause, StoreSlots};
 use crate::{
@@ -117,10 +117,7 @@
         let Some(engine) = self.engines.get_mut(at) else { return };
         match status {
             Some(status) => engine.status(status, now),
-            None => {
-                engine.asking = false;
-                engine.ask_at = Some(now.plus_ms(DOUBT_MS));
-            }
+            None => engine.silent(now),
         }
     }
 
@@ -161,6 +158,7 @@
 
     fn ask(&mut self, now: ClockTime, steps: &mut Vec<PlanStep>) {
         for engine in &mut self.engines {
+            engine.expect_load(now);
             if let Some(task) = &engine.task
                 && let TaskStage::Loading(until) = task.stage
                 && now >= until.plus_ms(LATE_MS)
@@ -168,8 +166,7 @@
             {
                 engine.ask_at = Some(now);
             }
-            if !engine.asking && engine.ask_at.is_some_and(|at| now >= at) {
-                engine.asking = true;
+            if engine.begin_asking(now) {
                 steps.push(PlanStep::Ask(engine.entry.id.clone(), engine.entry.address));
             }
         }
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -3,6 +3,7 @@
 use cowslip_units::{ClockTime, ModelId};
 use smol_str::SmolStr;
 
+use crate::model_answer::DOUBT_MS;
 use crate::{EngineAction, EngineRule, EngineStatus, HeldModel, ModelRule, UpstreamEntry};
 
 /// Where a model's weights lie for an engine.
@@ -54,6 +55,9 @@
     /// When its status must be asked for; `None` when it is known.
     pub(crate) ask_at: Option<ClockTime>,
     pub(crate) asking: bool,
+    /// When a load that was taken as done is to be confirmed; meanwhile the engine gets orders.
+    confirm_at: Option<ClockTime>,
+    confirming: bool,
     /// True once its status was read by this leader.
     pub(crate) known: bool,
     /// Models as the entry last listed them.
@@ -77,6 +81,8 @@
             next_adapter_at: ClockTime::ZERO,
             ask_at: Some(now),
             asking: false,
+            confirm_at: None,
+            confirming: false,
             known: false,
             entry_models: Vec::new(),
             memory_known: true,
@@ -125,8 +131,51 @@
         }
     }
 
+    /// Takes a load from the host memory or the disk as done at its expected end: those take as long as is known, and an
+    /// engine that is still busy refuses the next order. What it says of itself is older than that by some hundred ms.
+    pub(crate) fn expect_load(&mut self, now: ClockTime) {
+        let due = self.task.as_ref().is_some_and(|task| {
+            let over = matches!(task.stage, TaskStage::Loading(until) if now >= until.plus_ms(LOAD_END_MS));
+            over && task.tier != WeightTier::Store
+        });
+        if let Some(task) = self.task.take_if(|_| due) {
+            if !self.entry.holds(&task.model) {
+                self.entry.models.push(HeldModel { name: task.model.clone(), adapters: Vec::new() });
+            }
+            self.loaded_at.retain(|(known, _)| *known != task.model);
+            self.loaded_at.push((task.model, now));
+            self.confirm_at = Some(now.plus_ms(CONFIRM_MS));
+        }
+    }
+
+    /// True when the engine is to be asked now, for what is unknown or to confirm what is expected.
+    pub(crate) fn begin_asking(&mut self, now: ClockTime) -> bool {
+        if self.asking || self.confirming {
+            return false;
+        }
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.asking = true;
+        } else if self.confirm_at.is_some_and(|at| now >= at) {
+            self.confirming = true;
+        }
+        self.asking || self.confirming
+    }
+
+    /// The engine did not say anything.
+    pub(crate) fn silent(&mut self, now: ClockTime) {
+        if std::mem::take(&mut self.confirming) {
+            self.confirm_at = Some(now.plus_ms(CONFIRM_MS));
+        } else {
+            self.asking = false;
+            self.ask_at = Some(now.plus_ms(DOUBT_MS));
+        }
+    }
+
     /// Takes the engine's own status.
     pub(crate) fn status(&mut self, status: EngineStatus, now: ClockTime) {
+        if std::mem::take(&mut self.confirming) && !self.confirms(&status, now) {
+            return;
+        }
         self.asking = false;
         if status.born != self.entry.born || status.orders < self.orders {
             // Older than the last accepted order, or another start whose entry is yet to come.
@@ -154,6 +203,14 @@
         }
     }
 
+    /// True when a status that was to confirm a load is of after it, and tells whether it is there.
+    fn confirms(&mut self, status: &EngineStatus, now: ClockTime) -> bool {
+        let recent = status.born == self.entry.born && status.orders >= self.orders && !status.busy;
+        let changes = matches!(&self.task, Some(EngineTask { stage: TaskStage::Sent(_), .. }));
+        self.confirm_at = (!recent || changes).then(|| now.plus_ms(CONFIRM_MS));
+        recent && !changes
+    }
+
     /// Adapters held and on their way.
     pub fn adapter_count(&self) -> usize {
         self.entry.models.iter().map(|held| held.adapters.len()).sum::<usize>() + self.pending.len()
@@ -216,6 +273,12 @@
     left.len() == right.len() && left.iter().all(|held| holds(right, &held.name))
 }
 
+/// Time in ms beyond the expected end of a load from the host memory or the disk at which it is taken as done.
+const LOAD_END_MS: u64 = 20;
+
+/// Time in ms after which a load that was taken as done is confirmed.
+const CONFIRM_MS: u64 = 300;
+
 /// Time in ms until the status is asked for again after one that was too old.
 const STATUS_RETRY_MS: u64 = 120;
 
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -432,3 +432,67 @@
     // 48 calls want six engines, one of which is there.
     assert!(hot >= 4, "{loads:?}");
 }
+
+/// Guards against a fetch ahead, and against a load for the first request, that takes a busy model's replica away before
+/// anybody has asked: in the first second of traffic all its requests went to one engine.
+#[rstest]
+#[case::fetch_ahead(None)]
+#[case::first_request(Some("f"))]
+fn replicas_stay_until_demand_is_known(#[case] waited_for: Option<&str>) {
+    let place = |id: &str, models: &[&str]| entry(id, "s", models);
+    let mut desk =
+        Desk::new(vec![place("e1", &["a", "b"]), place("e2", &["a", "c"]), place("e3", &["a", "d"])]);
+    desk.orders(0);
+    if let Some(name) = waited_for {
+        desk.wait_for(name, 1, 900);
+    }
+    let orders: Vec<EngineOrder> = (1..20).flat_map(|step| desk.orders(step * 100)).collect();
+    let unloads = actions(&orders);
+    assert!(!unloads.is_empty(), "no load began");
+    assert!(unloads.iter().all(|action| !action.ends_with("unload a")), "{unloads:?}");
+}
+
+/// An engine that has been ordered to load `c` from its disk, and the time in ms at which that should be done.
+fn loading() -> (Desk, u64) {
+    let mut desk = Desk::new(vec![engine("e1", &["a", "b"])]);
+    desk.orders(0);
+    desk.wait_for("c", 1, 100);
+    let unload = desk.orders(100).remove(0);
+    assert_eq!(actions(std::slice::from_ref(&unload)), ["e1 unload a"]);
+    desk.answer(&unload, OrderAnswer::Started, 110);
+    let load = desk.orders(170).remove(0);
+    desk.answer(&load, OrderAnswer::Started, 180);
+    let rule = desk.services[0].engine.as_ref().and_then(|rule| rule.model(&model("c")));
+    let done_ms = 180 + rule.expect("model").disk_ms + 25;
+    (desk, done_ms)
+}
+
+/// Guards against an engine that is idle from the end of a load until what it says of itself has caught up: a third of the
+/// loads of a burst were lost.
+#[test]
+fn a_near_load_ends_when_it_is_expected() {
+    let (mut desk, done_ms) = loading();
+    desk.wait_for("d", 1, done_ms);
+    assert_eq!(actions(&desk.orders(done_ms)), ["e1 unload b"], "the next change begins at once");
+}
+
+/// Guards against a load that is taken as done for ever although the engine says later that it is not.
+#[rstest]
+#[case::done(&["b", "c"], 2, false, true)]
+#[case::not_done(&["b"], 2, false, false)]
+#[case::said_before_it(&["b"], 1, false, true)]
+#[case::busy_still(&["b"], 2, true, true)]
+fn a_load_taken_as_done_is_confirmed(
+    #[case] said: &[&str],
+    #[case] orders: u64,
+    #[case] busy: bool,
+    #[case] held_then: bool,
+) {
+    let (mut desk, done_ms) = loading();
+    assert!(desk.orders(done_ms).is_empty());
+    let asked = desk.steps(done_ms + 320);
+    assert!(matches!(asked.as_slice(), [PlanStep::Ask(..)]), "{asked:?}");
+    let status = EngineStatus { models: held(said), pending: Vec::new(), busy, orders, born: 1 };
+    desk.planner.status(&upstream("e1"), Some(status), at(done_ms + 330));
+    assert_eq!(desk.planner.engines()[0].entry.holds(&model("c")), held_then);
+}
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -240,6 +240,7 @@
             let retry_ms = flight.limit.retry_after_ms(wait_ms, now);
             if gateway.may_log() {
                 info!(gateway.logger, "wait_given_up"; "request" => %context.caller.attempt,
+                    "route" => %admitted.route.name, "objective_ms" => admitted.route.objective_ms,
                     "cause" => format!("{cause:?}"), "waited_ms" => now.since_ms(begun_at),
                     "model" => flight.need.model.as_ref().map(|need| need.model.to_string()),
                     "expected_ms" => wait_ms, "runs" => flight.runs);
@@ -367,6 +368,7 @@
             if gateway.may_log() {
                 info!(gateway.logger, "request_answered"; "request" => %context.caller.attempt,
                     "upstream" => %upstream, "status" => response.status().as_u16(),
+                    "route" => %admitted.route.name, "objective_ms" => admitted.route.objective_ms,
                     "model" => flight.need.model.as_ref().map(|need| need.model.to_string()),
                     "adapter" => flight.need.model.as_ref().and_then(|need| need.adapter.as_deref()),
                     "waited_ms" => flight.waited_ms, "cause" => flight.cause.map(|cause| format!("{cause:?}")),
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -96,7 +96,8 @@
         Some(team) if team.limited() => {
             let charge = team.charge(context.caller.tokens);
             let bulk = is_bulk(&admitted.route, team, charge);
-            reserve_tokens(gateway, &context, team, charge, bulk, &limit).await?;
+            let ask = TokenRequest { route: &admitted.route, team, charge, bulk };
+            reserve_tokens(gateway, &context, &ask, &limit).await?;
             Some((team.name.clone(), charge))
         }
         _ => None,
@@ -149,15 +150,22 @@
     route.priority >= BULK_PRIORITY && charge > 2 * team.plain_tokens.max(1)
 }
 
+/// A request for a team's tokens.
+struct TokenRequest<'a> {
+    route: &'a RouteRule,
+    team: &'a TeamRule,
+    charge: u64,
+    bulk: bool,
+}
+
 /// Takes the tokens of a request, waiting a little for the leader's grant.
 async fn reserve_tokens(
     gateway: &Gateway,
     context: &RequestContext,
-    team: &TeamRule,
-    charge: u64,
-    bulk: bool,
+    ask: &TokenRequest<'_>,
     limit: &WaitLimit,
 ) -> Result<(), RequestRefusal> {
+    let TokenRequest { route, team, charge, bulk } = *ask;
     let begun_at = gateway.now();
     let mut counted = false;
     let outcome = loop {
@@ -218,6 +226,7 @@
         drop(state);
         if outcome.is_err() && gateway.may_log() {
             info!(gateway.logger, "tokens_refused"; "request" => %context.caller.attempt, "team" => %team.name,
+                "route" => %route.name, "objective_ms" => route.objective_ms,
                 "charge" => charge, "rate" => team.per_s, "burst" => team.burst, "left" => left,
                 "wait_ms" => wait_ms, "bulk" => bulk, "tight_ms" => tight_ms, "leader_heard_ms" => heard_ms);
         }
