leader plan: adapters are fetched before models are loaded, and not while one is

Change: orders for adapters come before those for models in a plan, and none is sent to an engine that changes models.

--- a/crates/cowslip-entry/src/adapter_plan.rs
+++ b/crates/cowslip-entry/src/adapter_plan.rs
@@ -52,7 +52,7 @@
             continue;
         }
         let open = |engine: &&PlannedEngine| {
-            takes_adapter(engine, &model, now) && !has_adapter(engine, &model, &adapter) && free(engine)
+            takes_adapter(engine, now) && !has_adapter(engine, &model, &adapter) && free(engine)
         };
         let Some(chosen) = holders().filter(open).min_by_key(|engine| engine.adapter_count()) else {
             continue;
@@ -111,16 +111,10 @@
     held || coming || ordered
 }
 
-fn takes_adapter(engine: &PlannedEngine, model: &ModelId, now: ClockTime) -> bool {
-    let leaves = engine.task.as_ref().is_some_and(|task| task.victims.contains(model));
-    let changes = engine
-        .task
-        .as_ref()
-        .is_some_and(|task| !matches!(task.stage, crate::planned_engine::TaskStage::Loading(_)));
+fn takes_adapter(engine: &PlannedEngine, now: ClockTime) -> bool {
     engine.known
         && !engine.closed
-        && !leaves
-        && !changes
+        && engine.task.is_none()
         && engine.ask_at.is_none()
         && engine.adapter_sent.is_none()
         && now >= engine.next_adapter_at
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -147,11 +147,12 @@
             let Some(rule) = &service.engine else { continue };
             self.slots.refill(rule.loads_per_s, now);
             self.count_replicas(&service.name);
+            // An adapter takes milliseconds, and an engine takes none while it loads a model.
+            self.plan_adapters(&service.name, rule, now, &mut steps);
             self.serve_waiting(&service.name, rule, now);
             self.add_replicas(&service.name, rule, now);
             self.fetch_ahead(&service.name, rule, now);
             self.send_tasks(&service.name, rule, now, &mut steps);
-            self.plan_adapters(&service.name, rule, now, &mut steps);
         }
         steps
     }
