lease: held times add up over restarts of a VM, and orders end 1.5 s after the last renewal

Change: the row tells how long earlier processes of the holder's VM have held the lease. A leader sends orders for 1.5 s after each renewal, which come every 0.7 s, and its successor counts the gap from there; it leads for the whole lease.

Tests: a_process_knows_how_long_its_predecessor_has_led plays a third process.

--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -61,9 +61,9 @@
     highest_epoch: FenceNumber,
     /// Version of the holder's row and when it was renewed, as the holder told.
     told: Option<(u64, ClockTime)>,
-    /// Until when the holder before may have acted: a lease's time after its row was first seen, which is later than its
-    /// last renewal, or when the row was first seen that it had given the lease up.
-    earlier_until: Option<ClockTime>,
+    /// When the row of the holder before was first seen, which is later than its last renewal, and whether it said that
+    /// the lease was given up.
+    earlier: Option<(ClockTime, bool)>,
     /// Time in ms for which an earlier process of this VM held the lease at least that this one took over.
     own_held_ms: Option<u64>,
     /// Members of the fleet to write with the next renewal.
@@ -86,7 +86,7 @@
             next_at: ClockTime::ZERO,
             highest_epoch: FenceNumber::ZERO,
             told: None,
-            earlier_until: None,
+            earlier: None,
             own_held_ms: None,
             members: 0,
             replaces_own: false,
@@ -137,12 +137,15 @@
         self.told = Some((row_version, at));
     }
 
-    /// The time until which an earlier holder may have acted, as far as the row tells; `None` when no one held the
-    /// lease before the epoch of this process.
-    pub fn earlier_until(&self, now: ClockTime) -> Option<ClockTime> {
+    /// The time until which an earlier holder may have acted that acts for `acts_ms` after each renewal at most; `None` when
+    /// no one held the lease before the epoch of this process.
+    pub fn earlier_until(&self, acts_ms: u64, now: ClockTime) -> Option<ClockTime> {
         let seen = self.seen.as_ref()?;
-        let first = seen.row.epoch.get() <= 1;
-        (!first).then(|| self.earlier_until.unwrap_or_else(|| now.plus_ms(self.times.valid_ms)))
+        if seen.row.epoch.get() <= 1 {
+            return None;
+        }
+        let (since, gave_up) = self.earlier.unwrap_or((now, false));
+        Some(if gave_up { since } else { since.plus_ms(acts_ms) })
     }
 
     /// Time in ms for which the earlier process of this VM held the lease at least that this one took over; `None` when
@@ -252,7 +255,9 @@
         // A repeated write is the same in all, so that either of the two may have taken effect.
         let repeated = self.sent.as_ref().filter(again).map(|sent| sent.row.members);
         let members = repeated.unwrap_or(if takes { seen.row.members } else { self.members });
-        let row = LeaseRow { holder, epoch, renewals, members };
+        let earlier_ms =
+            if takes { self.held_by_own_ms(seen).unwrap_or_default() } else { seen.row.earlier_ms };
+        let row = LeaseRow { holder, epoch, renewals, members, earlier_ms };
         let Ok(value) = serde_json::to_string(&row) else {
             return LeaseStep::Idle(self.next_at);
         };
@@ -346,10 +351,17 @@
     /// Takes note of the holder before, as this process takes the lease over.
     fn note_earlier(&mut self) {
         let Some(before) = &self.seen else { return };
-        let acts_ms = if before.row.holder.is_some() { self.times.valid_ms } else { 0 };
-        let own = self.replaces_own && before.row.is_held_by(&self.own.vm);
-        self.earlier_until = Some(before.since.plus_ms(acts_ms));
-        self.own_held_ms = own.then(|| before.row.renewals * self.times.renew_ms);
+        let earlier = (before.since, before.row.holder.is_none());
+        let held_ms = self.held_by_own_ms(before);
+        self.earlier = Some(earlier);
+        self.own_held_ms = held_ms;
+    }
+
+    /// Time in ms for which earlier processes of this VM have held the lease of a row at least; `None` when another VM
+    /// holds it.
+    fn held_by_own_ms(&self, seen: &SeenRow) -> Option<u64> {
+        let own = self.replaces_own && seen.row.is_held_by(&self.own.vm);
+        own.then(|| seen.row.earlier_ms + seen.row.renewals * self.times.renew_ms)
     }
 
     fn candidate_at(&self, now: ClockTime) -> ClockTime {
--- a/crates/cowslip-fleet/src/lease_row.rs
+++ b/crates/cowslip-fleet/src/lease_row.rs
@@ -16,6 +16,10 @@
     *members == 0
 }
 
+fn is_none_held(millis: &u64) -> bool {
+    *millis == 0
+}
+
 /// Value of the row `lease/controller`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -28,6 +32,10 @@
     /// Members of the fleet that the holder knows; zero when it does not say.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub members: u32,
+    /// Time in ms for which earlier processes of the holder's VM held the lease at least, one after the other up to this
+    /// one; zero when another VM held it before.
+    #[serde(default, skip_serializing_if = "is_none_held")]
+    pub earlier_ms: u64,
 }
 
 impl LeaseRow {
--- a/crates/cowslip-fleet/tests/fleet/lease_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_cases.rs
@@ -161,7 +161,10 @@
     assert_eq!(next.is_leader(at(300)), leads);
     if leads {
         assert_eq!(table.parsed::<LeaseRow>(LEASE_KEY).unwrap().epoch, FenceNumber::new(2));
-        assert!(next.earlier_until(at(300)).is_some(), "orders of the predecessor may still arrive");
+        assert!(
+            next.earlier_until(LEASE_VALID_MS, at(300)).is_some(),
+            "orders of the predecessor may still arrive"
+        );
     }
 }
 
@@ -186,6 +189,10 @@
     settle(&mut next, &mut table, begun_ms + LEASE_TAKEOVER_MS);
     assert!(next.is_leader(at(begun_ms + LEASE_TAKEOVER_MS)) || vm == "vm");
     assert_eq!(next.own_held_ms(), held_ms);
+    // Another kill after one renewal: what the processes before have held still counts.
+    let mut third = controller_of("vm", "c").with_replaced_predecessor();
+    settle(&mut third, &mut table, begun_ms + LEASE_TAKEOVER_MS + 100);
+    assert_eq!(third.own_held_ms(), held_ms.map(|millis| millis + LEASE_RENEW_MS));
 }
 
 /// Guards against a new holder that waits for the lease of one that has given it up.
@@ -196,7 +203,7 @@
     holder.release(at(100));
     settle(&mut holder, &mut table, 100);
     settle(&mut next, &mut table, 250);
-    assert_eq!(next.earlier_until(at(250)), Some(at(250)));
+    assert_eq!(next.earlier_until(LEASE_VALID_MS, at(250)), Some(at(250)));
 }
 
 /// The version of the lease row as a candidate would read it now.
@@ -237,11 +244,12 @@
 fn a_takeover_knows_until_when_the_earlier_holder_acted() {
     let (mut holder, mut candidate, mut table) = (controller("a"), controller("b"), FakeTable::default());
     settle(&mut holder, &mut table, 0);
-    assert_eq!(holder.earlier_until(at(0)), None);
+    assert_eq!(holder.earlier_until(LEASE_VALID_MS, at(0)), None);
     settle(&mut candidate, &mut table, 700);
     settle(&mut candidate, &mut table, 700 + LEASE_TAKEOVER_MS);
     assert!(candidate.is_leader(at(700 + LEASE_TAKEOVER_MS)));
-    let until = candidate.earlier_until(at(700 + LEASE_TAKEOVER_MS)).expect("an earlier holder");
+    let until =
+        candidate.earlier_until(LEASE_VALID_MS, at(700 + LEASE_TAKEOVER_MS)).expect("an earlier holder");
     assert!(until >= at(LEASE_VALID_MS), "{until} is before the lease of the earlier holder ran out");
     assert!(until <= at(700 + LEASE_TAKEOVER_MS));
 }
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -26,6 +26,10 @@
 /// Validity of the lease in ms.
 pub(crate) const LEASE_MS: u64 = 3_000;
 
+/// Time in ms after a renewal of the lease in which its holder sends orders. It is shorter than the lease, so that the
+/// next leader of one that has died may order sooner, and longer than renewals take while all is well.
+pub(crate) const ORDERS_MS: u64 = 1_500;
+
 /// Pause in ms between two renewals.
 const RENEW_MS: u64 = 700;
 
@@ -167,8 +171,8 @@
 /// VM that restarts and has led long enough before is the only one that has sent any.
 fn orders_from(settings: &NodeSettings, lease: &LeaderLease, now: ClockTime) -> ClockTime {
     let gap_ms = settings.order_gap_ms + GAP_MARGIN_MS;
-    let alone = lease.own_held_ms().is_some_and(|held_ms| held_ms >= LEASE_MS + gap_ms);
-    match lease.earlier_until(now) {
+    let alone = lease.own_held_ms().is_some_and(|held_ms| held_ms >= ORDERS_MS + gap_ms);
+    match lease.earlier_until(ORDERS_MS, now) {
         Some(until) if !alone => until.plus_ms(gap_ms).max(now),
         _ => now,
     }
@@ -180,7 +184,7 @@
     let mut state = gateway.lock();
     match (epoch, &state.lead) {
         (Some(fence), None) => {
-            let earlier = lease.earlier_until(now);
+            let earlier = lease.earlier_until(LEASE_MS, now);
             let orders_from = orders_from(&gateway.settings, lease, now);
             let settings = &gateway.settings;
             let slack = (settings.rate_tolerance as f64 * TOLERANCE_PART) as u64;
--- a/crates/cowslip-gateway/src/plan_duty.rs
+++ b/crates/cowslip-gateway/src/plan_duty.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
+use crate::leader_duty::ORDERS_MS;
 use crate::upstream_notice::note_notice;
 use crate::upstream_pool::SendFault;
 
@@ -35,10 +36,12 @@
 /// Longest report of an engine in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
-/// True when this gateway may act as the leader of that fence at this moment.
-fn leads_now(gateway: &Gateway, fence: FenceNumber) -> bool {
+/// True when this gateway may send orders as the leader of that fence at this moment.
+fn may_order(gateway: &Gateway, fence: FenceNumber) -> bool {
+    let now = gateway.now();
     let lease = gateway.lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-    lease.as_ref().and_then(|lease| lease.epoch(gateway.now())) == Some(fence)
+    let Some(lease) = lease.as_ref().filter(|lease| lease.epoch(now) == Some(fence)) else { return false };
+    lease.renewal(now).is_some_and(|(_, renewed_at)| now.since_ms(renewed_at) < ORDERS_MS)
 }
 
 /// True when an engine may be asked or ordered something at this moment: one that wants nothing for a while, wants no
@@ -170,7 +173,7 @@
     let Ok(request) = request else { return OrderAnswer::Refused };
     let call = async {
         let start = gateway.lock().book.start_of(&order.upstream);
-        let allowed = || leads_now(gateway, fence) && accepts(gateway, &order.upstream);
+        let allowed = || may_order(gateway, fence) && accepts(gateway, &order.upstream);
         match gateway.pool.send(order.address, request, allowed).await {
             // A copy of the answer to a request that the connection carried before.
             Ok((response, _)) if response.headers().contains_key(ATTEMPT_ID) => OrderAnswer::InDoubt,
