leader: one that stops leading while it runs hands over what it ordered, granted and saw asked for

Change: a leader whose lease ends or is given up tells those that may lead next, with the answers to their reports, the age of its last order to each engine, its grants of the last window, and the busiest models. A successor of the very next term orders at once but to the engines that were ordered lately, and grants on from those windows. Ages count from the arrival, so that what they forbid lasts longer, not shorter.

--- a/crates/cowslip-entry/src/adapter_plan.rs
+++ b/crates/cowslip-entry/src/adapter_plan.rs
@@ -117,7 +117,7 @@
         && engine.task.is_none()
         && engine.ask_at.is_none()
         && engine.adapter_sent.is_none()
-        && now >= engine.next_adapter_at
+        && now >= engine.next_adapter_at.max(engine.orders_from)
         && engine.pending.len() < MAX_PENDING
 }
 
--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{UpstreamEntry, UpstreamStart};
+use crate::{LeaderHandover, UpstreamEntry, UpstreamStart};
 
 /// How fresh a gateway's view of the store is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,6 +101,9 @@
     /// Upstreams that have said to it that they leave.
     #[serde(default)]
     pub leaving: Vec<UpstreamStart>,
+    /// True for a gateway that may lead next.
+    #[serde(default)]
+    pub may_lead: bool,
     /// True for a report between two usual ones, for requests that wait. It leaves the running calls out, and the answer
     /// tells only what such requests need: a leader of 85 gateways had no room on its link for more.
     pub brief: bool,
@@ -184,7 +187,7 @@
 }
 
 /// The answer to a report.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaderAnswer {
     /// True when the answering gateway leads.
     pub leads: bool,
@@ -229,6 +232,9 @@
     pub left: Vec<UpstreamId>,
     /// Models that are about to be unloaded.
     pub leaving: Vec<(UpstreamId, ModelId)>,
+    /// What a leader that has just stopped leading tells those that may lead next.
+    #[serde(default)]
+    pub handover: Option<LeaderHandover>,
 }
 
 /// A row of the store, passed on by a gateway that has read it.
--- a/crates/cowslip-entry/src/grant_book.rs
+++ b/crates/cowslip-entry/src/grant_book.rs
@@ -6,7 +6,7 @@
 use cowslip_units::{ClockTime, TeamId};
 use smol_str::SmolStr;
 
-use crate::{GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine, heard_ms};
+use crate::{GrantWindow, TeamRoom, TeamRule, TokenAsk, TokenGrantLine, WindowCopy, heard_ms};
 
 /// Time in ms after which a silent gateway is no longer counted as a member.
 const FORGET_MS: u64 = 20_000;
@@ -62,6 +62,9 @@
     blind: bool,
     /// Until when own parts of silent gateways are counted as granted.
     counted_at: ClockTime,
+    /// What the leader before granted, and when it told that.
+    earlier: Vec<WindowCopy>,
+    earlier_at: ClockTime,
 }
 
 impl GrantBook {
@@ -88,6 +91,28 @@
         self
     }
 
+    /// Takes the grants of the leader before, as it told at `at`: nothing more of it is unknown.
+    pub fn take_earlier(&mut self, windows: &[WindowCopy], at: ClockTime, now: ClockTime) {
+        for team in &mut self.teams {
+            if let Some(copy) = windows.iter().find(|copy| copy.team == team.team) {
+                team.window.add_earlier(copy, at, now);
+            }
+        }
+        self.earlier = windows.to_vec();
+        self.earlier_at = at;
+    }
+
+    /// The grants of the last window, for the next leader.
+    pub fn copies(&mut self, now: ClockTime) -> Vec<WindowCopy> {
+        self.count_alone(now);
+        let copy = |team: &mut TeamWindow| WindowCopy {
+            team: team.team.clone(),
+            grants: team.window.grants(now),
+            level: team.window.level(now),
+        };
+        self.teams.iter_mut().map(copy).collect()
+    }
+
     /// Size of the fleet: the known members, and at first those that an earlier leader knew.
     pub fn fleet(&self, now: ClockTime) -> usize {
         let earlier = if now.since_ms(self.started_at) < FORGET_MS { self.fleet } else { 0 };
@@ -165,7 +190,11 @@
     }
 
     fn first_window(&self, rule: &TeamRule, now: ClockTime) -> GrantWindow {
-        let window = GrantWindow::new(rule.per_s, rule.burst, self.window_ms, now);
+        let mut window = GrantWindow::new(rule.per_s, rule.burst, self.window_ms, now);
+        if let Some(copy) = self.earlier.iter().find(|copy| copy.team == rule.name) {
+            window.add_earlier(copy, self.earlier_at, now);
+            return window;
+        }
         if self.blind { window.with_blind_start(self.slack) } else { window }
     }
 
--- a/crates/cowslip-entry/src/grant_window.rs
+++ b/crates/cowslip-entry/src/grant_window.rs
@@ -9,9 +9,14 @@
 
 use cowslip_units::ClockTime;
 
+use crate::WindowCopy;
+
 /// Length of a slice in ms.
 const SLICE_MS: u64 = 100;
 
+/// Length in ms of the slices in which grants are told to another leader.
+const COPY_SLICE_MS: u64 = 500;
+
 /// Share of the rate in percent that is granted while the grants of the last window are unknown; the rest covers
 /// grants that are spent after the leader that made them was lost.
 pub(crate) const UNKNOWN_PERCENT: u64 = 90;
@@ -58,6 +63,42 @@
         self
     }
 
+    /// Takes what an earlier leader granted, as it told at `at`; grants made here since then come on top.
+    pub fn add_earlier(&mut self, copy: &WindowCopy, at: ClockTime, now: ClockTime) {
+        self.refill(now);
+        for (age_ms, amount) in copy.grants.iter().rev() {
+            self.slices.push_front((at.minus_ms(*age_ms), *amount));
+        }
+        let own = self.used;
+        self.used += copy.grants.iter().map(|(_, amount)| amount).sum::<u64>();
+        self.level_milli = copy.level.min(self.burst).saturating_sub(own) * MILLI;
+        self.blind_until = ClockTime::ZERO;
+        self.refill(now);
+    }
+
+    /// The grants of the window with their ages in ms, merged into few.
+    pub fn grants(&mut self, now: ClockTime) -> Vec<(u64, u64)> {
+        self.refill(now);
+        let mut merged: Vec<(ClockTime, ClockTime, u64)> = Vec::new();
+        for (start, amount) in &self.slices {
+            match merged.last_mut() {
+                Some((first, last, sum)) if start.since_ms(*first) < COPY_SLICE_MS => {
+                    *last = *start;
+                    *sum += amount;
+                }
+                _ => merged.push((*start, *start, *amount)),
+            }
+        }
+        // Dated by their newest part, they stay in the window for longer than they need, not shorter.
+        merged.into_iter().map(|(_, last, sum)| (now.since_ms(last), sum)).collect()
+    }
+
+    /// Tokens in the bucket.
+    pub fn level(&mut self, now: ClockTime) -> u64 {
+        self.refill(now);
+        self.level_milli / MILLI
+    }
+
     /// Sets the team's rate and burst.
     pub fn set_limit(&mut self, per_s: u64, burst: u64, now: ClockTime) {
         self.refill(now);
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -6,7 +6,7 @@
 //! - limits kept by all gateways together: [`TokenPurse`] and [`GrantBook`], [`ColdGate`], [`RepeatBudget`]
 //! - how long a request may wait: [`WaitLimit`]
 //! - the leader's placement: [`DemandTable`], [`LoadPlanner`]
-//! - messages between gateways: [`GatewayReport`], [`LeaderAnswer`]
+//! - messages between gateways: [`GatewayReport`], [`LeaderAnswer`], [`LeaderHandover`]
 
 mod adapter_plan;
 mod caller_limits;
@@ -17,6 +17,7 @@
 mod grant_book;
 mod grant_window;
 mod known_upstream;
+mod leader_handover;
 mod leader_news;
 mod load_budget;
 mod load_planner;
@@ -55,6 +56,7 @@
 pub use grant_book::GrantBook;
 pub use grant_window::GrantWindow;
 pub use known_upstream::KnownUpstream;
+pub use leader_handover::{LeaderHandover, ModelRate, OrderAge, ReceivedHandover, WindowCopy};
 pub use leader_news::{LeaderNews, ToldNews};
 pub use load_budget::{LoadBudget, StoreLimit};
 pub use load_planner::LoadPlanner;
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -14,8 +14,8 @@
 use crate::planned_engine::{EngineTask, TaskStage, load_ms};
 use crate::store_slots::{LoadCause, StoreSlots};
 use crate::{
-    DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, ModelDemand,
-    OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry, WeightTier,
+    DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, ModelDemand, ModelRate,
+    OrderAge, OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry, WeightTier,
 };
 use victim_choice::{LoadNeed, LoadPlace};
 
@@ -56,6 +56,8 @@
     fetched_at: ClockTime,
     /// No order is sent before this time: an earlier leader's may still arrive.
     orders_from: ClockTime,
+    /// When single engines may get orders, as far as the leader before told; sorted.
+    held_back: Vec<(UpstreamId, ClockTime)>,
 }
 
 impl LoadPlanner {
@@ -68,9 +70,34 @@
             replicas: Vec::new(),
             fetched_at: ClockTime::ZERO,
             orders_from,
+            held_back: Vec::new(),
         }
     }
 
+    /// Takes what the leader before told: orders go out at once but to the engines in `held_back`, sorted by id, and the
+    /// busy models are known.
+    pub fn take_earlier(
+        &mut self,
+        held_back: Vec<(UpstreamId, ClockTime)>,
+        rates: &[ModelRate],
+        now: ClockTime,
+    ) {
+        self.orders_from = self.orders_from.min(now);
+        for engine in &mut self.engines {
+            engine.orders_from = hold_of(&held_back, &engine.entry.id);
+        }
+        self.held_back = held_back;
+        self.demand.take_rates(rates, now);
+    }
+
+    /// Engines that were sent an order in the last `gap_ms`.
+    pub fn recent_orders(&self, gap_ms: u64, now: ClockTime) -> Vec<OrderAge> {
+        let age = |engine: &PlannedEngine| {
+            Some(OrderAge { upstream: engine.entry.id.clone(), age_ms: engine.order_age_ms(now)? })
+        };
+        self.engines.iter().filter_map(age).filter(|order| order.age_ms < gap_ms).collect()
+    }
+
     /// The demand.
     pub fn demand(&self) -> &DemandTable {
         &self.demand
@@ -104,7 +131,10 @@
         for entry in entries {
             while known.next_if(|engine| engine.entry.id < entry.id).is_some() {}
             let engine = known.next_if(|engine| engine.entry.id == entry.id);
-            let mut engine = engine.unwrap_or_else(|| PlannedEngine::new(entry.clone(), now));
+            let mut engine = engine.unwrap_or_else(|| {
+                let orders_from = hold_of(&self.held_back, &entry.id);
+                PlannedEngine::new(entry.clone(), now).with_orders_from(orders_from)
+            });
             engine.update(entry, now);
             engine.closed = is_closed(&engine.entry);
             self.engines.push(engine);
@@ -125,6 +155,9 @@
     pub fn answered(&mut self, order: &EngineOrder, answer: OrderAnswer, rule: &EngineRule, now: ClockTime) {
         let Ok(at) = self.find(&order.upstream) else { return };
         let Some(engine) = self.engines.get_mut(at) else { return };
+        if answer != OrderAnswer::NotSent {
+            engine.ordered_at = Some(now);
+        }
         match &order.action {
             EngineAction::Load(_) | EngineAction::Unload(_) => {
                 model_answered(engine, order, answer, rule, now);
@@ -316,8 +349,9 @@
                 continue;
             }
             let tier = engine.tier(model);
-            if !engine.is_free() {
+            if !engine.is_free(now) {
                 let wait_ms = engine.task.as_ref().map_or(RUNNING_MS, |task| task_left_ms(task, rule, now));
+                let wait_ms = wait_ms.max(engine.orders_from.since_ms(now) as f64);
                 soonest_busy = soonest_busy.min(wait_ms + load_ms(model_rule, tier) as f64);
             } else if tier == WeightTier::Store {
                 far.push(at);
@@ -368,7 +402,8 @@
             let used_mb = engine.used_mb(rule);
             let Some(task) = engine.task.as_mut() else { continue };
             let TaskStage::Send(at) = task.stage else { continue };
-            if now < at || engine.asking || engine.ask_at.is_some() || engine.adapter_sent.is_some() {
+            let waits = now < at.max(engine.orders_from);
+            if waits || engine.asking || engine.ask_at.is_some() || engine.adapter_sent.is_some() {
                 continue;
             }
             let held = |model: &&ModelId| engine.entry.models.iter().any(|held| held.name == **model);
@@ -404,3 +439,9 @@
         steps.extend(orders.into_iter().map(PlanStep::Order));
     }
 }
+
+/// When an engine may get orders by a sorted list.
+fn hold_of(held_back: &[(UpstreamId, ClockTime)], id: &UpstreamId) -> ClockTime {
+    let at = held_back.binary_search_by(|(held, _)| held.cmp(id)).ok();
+    at.and_then(|at| held_back.get(at)).map_or(ClockTime::ZERO, |(_, from)| *from)
+}
--- a/crates/cowslip-entry/src/model_demand.rs
+++ b/crates/cowslip-entry/src/model_demand.rs
@@ -3,11 +3,15 @@
 use cowslip_units::{ClockTime, ModelId, UpstreamId};
 use smol_str::SmolStr;
 
-use crate::{GatewayReport, ModelNeed, RunningLine, heard_ms};
+use crate::leader_handover::MAX_RATES;
+use crate::{GatewayReport, ModelNeed, ModelRate, RunningLine, heard_ms};
 
 /// Time in ms over which rates are smoothed.
 const SMOOTH_MS: f64 = 5_000.0;
 
+/// Rate a second from which a model's is told to another leader; those of rare models are known as soon.
+const LEAST_TOLD_PER_S: f64 = 0.3;
+
 /// Time in ms after which a gateway's last report no longer tells what waits and what runs, in a small fleet. Gateways
 /// of a large one report more seldom.
 const STALE_MS: u64 = 1_500;
@@ -126,6 +130,24 @@
         &mut self.models[at]
     }
 
+    /// Takes the rates that another leader told, where none is known here yet.
+    pub fn take_rates(&mut self, rates: &[ModelRate], now: ClockTime) {
+        for rate in rates {
+            let demand = self.entry(&rate.model, now);
+            demand.per_s = demand.per_s.max(rate.per_s);
+        }
+    }
+
+    /// The rates of the busiest models.
+    pub fn rates(&self) -> Vec<ModelRate> {
+        let busy = self.models.iter().filter(|demand| demand.per_s >= LEAST_TOLD_PER_S);
+        let rate = |demand: &ModelDemand| ModelRate { model: demand.model.clone(), per_s: demand.per_s };
+        let mut rates: Vec<ModelRate> = busy.map(rate).collect();
+        rates.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
+        rates.truncate(MAX_RATES);
+        rates
+    }
+
     /// Sums the reports up; call it before each decision.
     pub fn refresh(&mut self, now: ClockTime) {
         self.reports.retain(|heard| now.since_ms(heard.at) < SILENT_CALLS_MS);
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -66,6 +66,10 @@
     memory_known: bool,
     /// Adapters on their way, with the time at which they should be there.
     pub(crate) pending: Vec<(ModelId, SmolStr, ClockTime)>,
+    /// When it was last sent an order.
+    pub(crate) ordered_at: Option<ClockTime>,
+    /// It gets no order before this time: it may have got one of another VM.
+    pub(crate) orders_from: ClockTime,
     /// True while it gets no orders, because it leaves or its domain is evacuated.
     pub(crate) closed: bool,
 }
@@ -87,14 +91,24 @@
             entry_models: Vec::new(),
             memory_known: true,
             pending: Vec::new(),
+            ordered_at: None,
+            orders_from: ClockTime::ZERO,
             closed: false,
         }
     }
 
+    /// Sets the time from which it may get orders.
+    #[must_use]
+    pub(crate) fn with_orders_from(mut self, orders_from: ClockTime) -> Self {
+        self.orders_from = orders_from;
+        self
+    }
+
     /// Takes a newer entry; a new start begins anew.
     pub(crate) fn update(&mut self, entry: &UpstreamEntry, now: ClockTime) {
         if entry.born != self.entry.born || entry.address != self.entry.address {
-            *self = Self::new(entry.clone(), now);
+            let (ordered_at, orders_from) = (self.ordered_at, self.orders_from);
+            *self = Self { ordered_at, orders_from, ..Self::new(entry.clone(), now) };
             return;
         }
         self.entry.draining = entry.draining;
@@ -249,9 +263,17 @@
         }
     }
 
+    /// Time in ms since an order that may have reached it, if there was one.
+    pub(crate) fn order_age_ms(&self, now: ClockTime) -> Option<u64> {
+        let task = self.task.as_ref();
+        let under_way = task.is_some_and(|task| matches!(task.stage, TaskStage::Sent(_)));
+        if under_way || self.adapter_sent.is_some() { Some(0) } else { Some(now.since_ms(self.ordered_at?)) }
+    }
+
     /// True when it may get orders about models.
-    pub(crate) fn is_free(&self) -> bool {
+    pub(crate) fn is_free(&self, now: ClockTime) -> bool {
         self.known
+            && now >= self.orders_from
             && self.task.is_none()
             && self.ask_at.is_none()
             && !self.closed
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -5,8 +5,9 @@
 
 use cowslip_adapter::{NodeSettings, StoreClient, StoreRow};
 use cowslip_entry::{
-    ArrivalLine, ModelNeed, NewsMarks, OperatorView, PickScope, RepeatBudget, RequestNeed, RunningLine,
-    ServiceRule, StoreTrouble, TokenPurse, UpstreamBook, UpstreamPick, UpstreamProof, ViewStamp, WaitCause,
+    ArrivalLine, LeaderHandover, ModelNeed, NewsMarks, OperatorView, PickScope, ReceivedHandover,
+    RepeatBudget, RequestNeed, RunningLine, ServiceRule, StoreTrouble, TokenPurse, UpstreamBook,
+    UpstreamPick, UpstreamProof, ViewStamp, WaitCause,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::ProcessClock;
@@ -127,6 +128,10 @@
     pub repeats: Vec<(ServiceId, RepeatBudget)>,
     /// Leader duties, while this gateway leads.
     pub lead: Option<LeaderState>,
+    /// What this gateway hands over as the last leader that it was, and when it stopped.
+    pub given: Option<(LeaderHandover, ClockTime)>,
+    /// What the last leader handed over to those that may lead next.
+    pub received: Option<ReceivedHandover>,
     /// When the termination signal came.
     pub stopping_at: Option<ClockTime>,
     /// Requests in progress.
@@ -243,6 +248,8 @@
             tokens: Vec::new(),
             repeats: Vec::new(),
             lead: None,
+            given: None,
+            received: None,
             stopping_at: None,
             active: 0,
             lines: LineBudget::default(),
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cowslip_adapter::NodeSettings;
-use cowslip_entry::{GrantBook, LoadPlanner, heard_ms, rank_of};
+use cowslip_entry::{GrantBook, LeaderHandover, LoadPlanner, ReceivedHandover, heard_ms, rank_of};
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
 use cowslip_platform::{RowValue, TableService};
 use cowslip_units::ClockTime;
@@ -167,10 +167,29 @@
     }
 }
 
+/// Time in ms between the last order of a leader to an engine and the first one of another VM.
+fn order_gap_ms(settings: &NodeSettings) -> u64 {
+    settings.order_gap_ms + GAP_MARGIN_MS
+}
+
+/// Takes what the last leader handed over.
+pub(crate) fn take_handover(gateway: &Gateway, told: LeaderHandover, now: ClockTime) {
+    let received = ReceivedHandover { told, at: now };
+    let gap_ms = order_gap_ms(&gateway.settings);
+    let mut state = gateway.lock();
+    if state.received.as_ref().is_some_and(|known| known.told.term >= received.told.term) {
+        return;
+    }
+    let informed = state.lead.as_mut().is_some_and(|lead| lead.take_handover(&received, gap_ms, now));
+    info!(gateway.logger, "handover"; "term" => received.told.term, "orders" => received.told.orders.len(),
+        "teams" => received.told.windows.len(), "leads" => informed);
+    state.received = Some(received);
+}
+
 /// When this gateway may send orders as a new leader. An engine must not get orders of two VMs within the required gap; a
 /// VM that restarts and has led long enough before is the only one that has sent any.
 fn orders_from(settings: &NodeSettings, lease: &LeaderLease, now: ClockTime) -> ClockTime {
-    let gap_ms = settings.order_gap_ms + GAP_MARGIN_MS;
+    let gap_ms = order_gap_ms(settings);
     let alone = lease.own_held_ms().is_some_and(|held_ms| held_ms >= ORDERS_MS + gap_ms);
     match lease.earlier_until(ORDERS_MS, now) {
         Some(until) if !alone => until.plus_ms(gap_ms).max(now),
@@ -191,16 +210,24 @@
             let grants = GrantBook::new(settings.rate_window_ms, slack, earlier.is_some(), now);
             let grants = grants.with_members(&state.members).with_fleet(state.fleet.unwrap_or_default());
             let planner = LoadPlanner::new(settings.loads, orders_from, now);
-            state.lead = Some(LeaderState::new(fence, planner, grants));
+            let mut lead = LeaderState::new(fence, planner, grants);
+            let received = state.received.as_ref();
+            let informed =
+                received.is_some_and(|received| lead.take_handover(received, order_gap_ms(settings), now));
+            state.lead = Some(lead);
+            state.given = None;
             drop(state);
             gateway.metrics.lease_changes.inc();
-            info!(gateway.logger, "lead_began"; "fence" => fence.get(), "orders_in_ms" => orders_from.since_ms(now));
+            info!(gateway.logger, "lead_began"; "fence" => fence.get(), "informed" => informed,
+                "orders_in_ms" => if informed { 0 } else { orders_from.since_ms(now) });
             gateway.report_now.notify_one();
             gateway.follow_now.notify_waiters();
         }
         (None, Some(lead)) => {
             let fence = lead.fence;
-            state.lead = None;
+            let mut ended = state.lead.take();
+            let gap_ms = order_gap_ms(&gateway.settings);
+            state.given = ended.as_mut().map(|lead| (lead.handover(gap_ms, now), now));
             state.leader = None;
             drop(state);
             gateway.metrics.lease_changes.inc();
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
-use crate::leader_duty::SMALL_FLEET;
+use crate::leader_duty::{SMALL_FLEET, take_handover};
 use crate::own_parts::learn_fleet;
 use crate::store_follow::{take_copy, take_news, view_copy};
 
@@ -35,6 +35,9 @@
 /// them before it.
 const ANSWER_MS: (u64, u64) = (400, 5);
 
+/// Time in ms for which a gateway that led hands over what it knew.
+const HANDOVER_MS: u64 = 4_000;
+
 /// Age in ms of the own view from which another gateway is asked for its one, unless a change is known to be missing in it.
 const VOUCH_AGE_MS: u64 = 2_600;
 
@@ -80,7 +83,11 @@
     let leader = state.leader;
     let own = gateway.settings.peers;
     let Some(lead) = state.lead.as_mut() else {
-        return LeaderAnswer { leader, view, ..LeaderAnswer::default() };
+        let handover = state.given.as_ref().filter(|_| report.may_lead);
+        let handover = handover.map(|(handover, at)| (handover, now.since_ms(*at)));
+        let handover = handover.filter(|(_, age_ms)| *age_ms < HANDOVER_MS);
+        let handover = handover.map(|(handover, age_ms)| handover.aged(age_ms));
+        return LeaderAnswer { leader, view, handover, ..LeaderAnswer::default() };
     };
     if let Some(config) = &config {
         lead.grants.configure(config.teams(), now);
@@ -256,6 +263,10 @@
         }
     }
     if !answer.leads {
+        drop(state);
+        if let Some(handover) = answer.handover {
+            take_handover(gateway, handover, now);
+        }
         return;
     }
     state.leader_lost_at = None;
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use cowslip_entry::{
-    GatewayReport, GrantBook, LeaderAnswer, LeaderNews, LeaseNews, LoadPlanner, ServiceRule, ToldNews,
-    UpstreamBook, ViewStamp,
+    GatewayReport, GrantBook, LeaderAnswer, LeaderHandover, LeaderNews, LeaseNews, LoadPlanner,
+    ReceivedHandover, ServiceRule, ToldNews, UpstreamBook, ViewStamp,
 };
 use cowslip_units::{ClockTime, FenceNumber, ModelId};
 use smol_str::SmolStr;
@@ -112,6 +112,27 @@
             places,
             left,
             leaving: if brief { Vec::new() } else { self.planner.leaving() },
+            handover: None,
         }
     }
+
+    /// What the next leader should know of this one, whose last orders matter for `gap_ms`.
+    pub(crate) fn handover(&mut self, gap_ms: u64, now: ClockTime) -> LeaderHandover {
+        LeaderHandover {
+            term: self.fence.get(),
+            orders: self.planner.recent_orders(gap_ms, now),
+            windows: self.grants.copies(now),
+            rates: self.planner.demand().rates(),
+        }
+    }
+
+    /// Takes what the leader before told, if it was the one before this.
+    pub(crate) fn take_handover(&mut self, received: &ReceivedHandover, gap_ms: u64, now: ClockTime) -> bool {
+        let precedes = received.precedes(self.fence.get());
+        if precedes {
+            self.grants.take_earlier(&received.told.windows, received.at, now);
+            self.planner.take_earlier(received.orders_from(gap_ms), &received.told.rates, now);
+        }
+        precedes
+    }
 }
--- a/crates/cowslip-gateway/src/report_draft.rs
+++ b/crates/cowslip-gateway/src/report_draft.rs
@@ -5,6 +5,7 @@
 use cowslip_units::ClockTime;
 
 use crate::gateway_state::GatewayState;
+use crate::leader_duty::SMALL_FLEET;
 
 impl GatewayState {
     /// Composes the report to the leader and forgets what it tells.
@@ -42,6 +43,7 @@
             demand,
             running: if brief { Vec::new() } else { self.running.clone() },
             tokens,
+            may_lead: !settings.weak || self.member_count() <= SMALL_FLEET,
             leaving: self.book.notices().leaving().cloned().collect(),
             brief,
         }
