leader: one that the store turns away gives its lease up to one that reaches it

Cause: a leader that the store does not answer holds its lease until it runs out, 3 s after its last renewal.

Change: a gateway that hears from the leader that a renewal is overdue asks the store, by rank; if it is answered, its next report says so, and the leader, whose own writes fail, ends its duties and hands over. The lease row still names it: it neither acts nor renews any more, and who was told so takes the row without waiting. While the store answers nobody the leader goes on until its lease ends.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -104,6 +104,9 @@
     /// True for a gateway that may lead next.
     #[serde(default)]
     pub may_lead: bool,
+    /// True when the store has just answered it, while the leader's renewal of its lease was overdue.
+    #[serde(default)]
+    pub reaches_store: bool,
     /// True for a report between two usual ones, for requests that wait. It leaves the running calls out, and the answer
     /// tells only what such requests need: a leader of 85 gateways had no room on its link for more.
     pub brief: bool,
--- /dev/null
+++ b/crates/cowslip-entry/tests/entry/handover_cases.rs
@@ -0,0 +1,133 @@
+//! What a leader hands over to its successor, and what the successor does with it.
+
+use cowslip_entry::{
+    GrantBook, GrantWindow, LeaderHandover, ModelRate, OrderAge, ReceivedHandover, TeamRule, TokenAsk,
+    WindowCopy,
+};
+use cowslip_units::TeamId;
+use rstest::rstest;
+use smol_str::SmolStr;
+
+use crate::names::{at, model, upstream};
+
+const WINDOW_MS: u64 = 8_000;
+const GAP_MS: u64 = 3_200;
+const PER_S: u64 = 1_000;
+const BURST: u64 = 4_000;
+
+fn team() -> TeamId {
+    TeamId::new("t").expect("team")
+}
+
+fn rule() -> TeamRule {
+    TeamRule {
+        name: team(),
+        keys: Vec::new(),
+        priority: None,
+        counts_tokens: true,
+        plain_tokens: 200,
+        per_s: PER_S,
+        burst: BURST,
+    }
+}
+
+fn ask(short: u64) -> TokenAsk {
+    TokenAsk { team: team(), short, ahead: 0, returned: 0, spent_alone: 0 }
+}
+
+/// A book of one gateway that reports.
+fn book(blind: bool, millis: u64) -> GrantBook {
+    let mut book = GrantBook::new(WINDOW_MS, 0, blind, at(millis));
+    book.configure(&[rule()], at(millis));
+    book.heard(&SmolStr::from("g"), at(millis));
+    book
+}
+
+fn granted(book: &mut GrantBook, short: u64, millis: u64) -> u64 {
+    book.heard(&SmolStr::from("g"), at(millis));
+    book.grant(&[ask(short)], at(millis)).first().map_or(0, |line| line.granted)
+}
+
+/// Guards against a successor that grants less than the team's limit has left, as if all of it might have been used, or
+/// more, as if nothing had been.
+#[rstest]
+#[case::nothing_used(0, BURST)]
+#[case::half_used(2_000, 2_000)]
+#[case::all_used(BURST, 0)]
+fn a_successor_grants_what_is_left(#[case] used: u64, #[case] left: u64) {
+    let mut first = book(false, 0);
+    assert_eq!(granted(&mut first, used, 10_000), used);
+    let copies = first.copies(at(10_000));
+    let mut second = book(true, 10_010);
+    assert_eq!(granted(&mut second, BURST, 10_010), 0, "it knows nothing yet");
+    second.take_earlier(&copies, at(10_010), at(10_010));
+    let got = granted(&mut second, BURST, 10_010);
+    assert!(got <= left + 50 && got + 50 >= left, "{got} instead of {left}");
+}
+
+/// Guards against a handover that comes after the successor has granted something, and forgets that.
+#[test]
+fn own_grants_count_beside_those_handed_over() {
+    let mut first = book(false, 0);
+    assert_eq!(granted(&mut first, 1_000, 10_000), 1_000);
+    let copies = first.copies(at(10_000));
+    let mut second = book(true, 10_000);
+    let early = granted(&mut second, 500, 10_600);
+    assert!(early > 0);
+    second.take_earlier(&copies, at(10_600), at(10_600));
+    assert!(granted(&mut second, BURST, 10_600) <= BURST - 1_000 - early);
+}
+
+/// Guards against a team that gets more than its limit in a window over a chain of leaders, each of which leads shortly.
+#[test]
+fn a_chain_of_leaders_keeps_the_limit() {
+    let mut lead = book(false, 0);
+    let mut grants: Vec<(u64, u64)> = Vec::new();
+    for turn in 0..30 {
+        let begun = 1_000 + turn * 700;
+        for step in 0..7 {
+            let millis = begun + step * 100;
+            grants.push((millis, granted(&mut lead, 3_000, millis)));
+        }
+        let copies = lead.copies(at(begun + 690));
+        lead = book(true, begun + 695);
+        lead.take_earlier(&copies, at(begun + 695), at(begun + 695));
+    }
+    let limit = PER_S * WINDOW_MS / 1_000 + BURST;
+    for (from, _) in &grants {
+        let inside = grants.iter().filter(|(when, _)| when >= from && *when < from + WINDOW_MS);
+        let sum: u64 = inside.map(|(_, amount)| amount).sum();
+        assert!(sum <= limit, "{sum} of {limit} from {from}");
+    }
+    let last: u64 = grants.iter().filter(|(when, _)| *when >= 14_000).map(|(_, amount)| amount).sum();
+    assert!(last >= PER_S * 7 / 2, "the rate is hardly granted: {last}");
+}
+
+/// Guards against merged grants that leave a window before they are as old as it.
+#[test]
+fn merged_grants_are_dated_by_the_newest() {
+    let mut window = GrantWindow::new(PER_S, BURST, WINDOW_MS, at(0));
+    for millis in [1_000, 1_200, 1_450, 2_000] {
+        window.grant(100, at(millis));
+    }
+    assert_eq!(window.grants(at(3_000)), [(1_550, 300), (1_000, 100)]);
+}
+
+/// Guards against a handover that is used by another leader than the next, and against orders that go out sooner after
+/// the last one of the leader before than the gap between two VMs.
+#[test]
+fn orders_wait_for_the_engines_that_got_some() {
+    let order = |name: &str, age_ms: u64| OrderAge { upstream: upstream(name), age_ms };
+    let given = LeaderHandover {
+        term: 4,
+        orders: vec![order("e2", 3_000), order("e1", 200)],
+        windows: vec![WindowCopy { team: team(), grants: vec![(100, 5)], level: 0 }],
+        rates: vec![ModelRate { model: model("a"), per_s: 2.0 }],
+    };
+    let told = given.aged(150);
+    assert_eq!(told.windows[0].grants, [(250, 5)]);
+    let received = ReceivedHandover { told, at: at(10_000) };
+    assert!(received.precedes(5) && !received.precedes(6) && !received.precedes(4));
+    let from = received.orders_from(GAP_MS);
+    assert_eq!(from, [(upstream("e1"), at(12_850)), (upstream("e2"), at(10_050))]);
+}
--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -66,6 +66,12 @@
     earlier: Option<(ClockTime, bool)>,
     /// Time in ms for which an earlier process of this VM held the lease at least that this one took over.
     own_held_ms: Option<u64>,
+    /// The own epoch that this process has given up without the store.
+    given_up: Option<FenceNumber>,
+    /// An epoch that its holder said it has given up.
+    told_given_up: Option<FenceNumber>,
+    /// True when the last write failed.
+    failing: bool,
     /// Members of the fleet to write with the next renewal.
     members: u32,
     /// True when an earlier process of this VM has ended for sure once this one runs.
@@ -88,6 +94,9 @@
             told: None,
             earlier: None,
             own_held_ms: None,
+            given_up: None,
+            told_given_up: None,
+            failing: false,
             members: 0,
             replaces_own: false,
         }
@@ -195,6 +204,29 @@
         }
     }
 
+    /// Gives the lease up to another process that reaches the store, while this one does not: the row still names this
+    /// process, which does not act and does not renew from now on.
+    pub fn give_up(&mut self, now: ClockTime) {
+        if self.role != LeaseRole::Holder {
+            return;
+        }
+        self.given_up = self.seen.as_ref().map(|seen| seen.row.epoch);
+        self.role = LeaseRole::Candidate;
+        self.valid_from = None;
+        self.sent = None;
+        self.next_at = now.plus_ms(self.times.poll_ms);
+    }
+
+    /// The holder of that epoch said that it has given the lease up: its row need not run out.
+    pub fn told_given_up(&mut self, epoch: FenceNumber) {
+        self.told_given_up = self.told_given_up.max(Some(epoch));
+    }
+
+    /// True while this process holds the lease and its last write failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing && self.role == LeaseRole::Holder
+    }
+
     /// True while the lease is being given up: the row has not said so yet.
     pub fn is_releasing(&self) -> bool {
         self.role == LeaseRole::Releasing
@@ -239,8 +271,11 @@
 
     /// When the row that was seen may be taken over if it does not change.
     fn free_from(&self, seen: &SeenRow) -> ClockTime {
+        let epoch = Some(seen.row.epoch);
         match &seen.row.holder {
             None => seen.since,
+            Some(_) if epoch == self.told_given_up => seen.since,
+            Some(_) if epoch == self.given_up => seen.since.plus_ms(self.times.takeover_ms),
             Some(_) if self.replaces_own && seen.row.is_held_by(&self.own.vm) => seen.since,
             Some(_) => seen.since.plus_ms(self.times.takeover_ms),
         }
@@ -286,6 +321,7 @@
 
     /// The result of [`LeaseStep::Commit`].
     pub fn commit_answered(&mut self, result: &Result<TransactionOutcome, PlatformError>, now: ClockTime) {
+        self.failing = result.is_err();
         match result {
             Ok(outcome) if outcome.committed => {
                 let Some(sent) = self.sent.as_mut() else { return };
@@ -328,7 +364,7 @@
         let same = self.seen.as_ref().filter(|seen| seen.row_version == row_version);
         let told = self.told.filter(|(version, _)| Some(*version) == row_version).map(|(_, at)| at);
         let since = same.map_or(now, |seen| seen.since).min(told.unwrap_or(now));
-        let own = row.holder.as_ref() == Some(&self.own);
+        let own = row.holder.as_ref() == Some(&self.own) && self.given_up != Some(row.epoch);
         if own && self.role == LeaseRole::Candidate {
             self.note_earlier();
         }
@@ -351,7 +387,8 @@
     /// Takes note of the holder before, as this process takes the lease over.
     fn note_earlier(&mut self) {
         let Some(before) = &self.seen else { return };
-        let earlier = (before.since, before.row.holder.is_none());
+        let gave_up = before.row.holder.is_none() || self.told_given_up == Some(before.row.epoch);
+        let earlier = (before.since, gave_up);
         let held_ms = self.held_by_own_ms(before);
         self.earlier = Some(earlier);
         self.own_held_ms = held_ms;
--- a/crates/cowslip-fleet/tests/fleet/lease_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_cases.rs
@@ -206,6 +206,35 @@
     assert_eq!(next.earlier_until(LEASE_VALID_MS, at(250)), Some(at(250)));
 }
 
+/// Guards against two holders after one has given its lease up without the store: it must not act on a renewal of it that
+/// was still under way, nor take its own row over at once as that of a predecessor. And against a successor that waits for
+/// the lease although it was told, or does not wait although it was not.
+#[rstest]
+#[case::told(true)]
+#[case::not_told(false)]
+fn a_lease_given_up_is_taken_by_who_was_told(#[case] told: bool) {
+    let (mut holder, mut table) =
+        (controller_of("vm", "a").with_replaced_predecessor(), FakeTable::default());
+    let mut next = controller("b");
+    settle(&mut holder, &mut table, 0);
+    settle(&mut next, &mut table, 100);
+    // A renewal is sent, and its answer comes after the lease was given up.
+    let LeaseStep::Commit(renewal) = holder.next(at(LEASE_RENEW_MS)) else { panic!("no renewal") };
+    holder.give_up(at(LEASE_RENEW_MS + 10));
+    let committed = table.commit(&renewal);
+    holder.commit_answered(&Ok(committed), at(LEASE_RENEW_MS + 20));
+    assert!(!holder.is_leader(at(LEASE_RENEW_MS + 20)));
+    settle(&mut holder, &mut table, LEASE_RENEW_MS + 600);
+    assert!(!holder.is_leader(at(LEASE_RENEW_MS + 600)), "it took its own lease back");
+    if told {
+        next.told_given_up(FenceNumber::new(1));
+    }
+    settle(&mut next, &mut table, LEASE_RENEW_MS + 650);
+    assert_eq!(next.is_leader(at(LEASE_RENEW_MS + 650)), told);
+    settle(&mut next, &mut table, LEASE_RENEW_MS + 650 + LEASE_TAKEOVER_MS);
+    assert!(next.is_leader(at(LEASE_RENEW_MS + 650 + LEASE_TAKEOVER_MS)));
+}
+
 /// The version of the lease row as a candidate would read it now.
 fn row_version(table: &FakeTable) -> u64 {
     table.read(LEASE_KEY).expect("a row").version
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -25,6 +25,9 @@
 /// Time in ms beyond its expected end from which a load is late, so that the leader is asked again.
 const LATE_LOAD_MS: u64 = 150;
 
+/// Time in ms for which an answer of the store tells that it can be reached.
+const REACHED_MS: u64 = 700;
+
 /// A request that waits for an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingNeed {
@@ -128,6 +131,12 @@
     pub repeats: Vec<(ServiceId, RepeatBudget)>,
     /// Leader duties, while this gateway leads.
     pub lead: Option<LeaderState>,
+    /// True when this gateway has ended its duties as the leader and still holds the lease.
+    pub resigned: bool,
+    /// Send time of the last call that the store answered while the leader's renewal was overdue.
+    pub store_reached_at: Option<ClockTime>,
+    /// When the store was last called to find out whether it answers.
+    pub probed_at: Option<ClockTime>,
     /// What this gateway hands over as the last leader that it was, and when it stopped.
     pub given: Option<(LeaderHandover, ClockTime)>,
     /// What the last leader handed over to those that may lead next.
@@ -248,6 +257,9 @@
             tokens: Vec::new(),
             repeats: Vec::new(),
             lead: None,
+            resigned: false,
+            store_reached_at: None,
+            probed_at: None,
             given: None,
             received: None,
             stopping_at: None,
@@ -270,6 +282,11 @@
         }
     }
 
+    /// True when the store has just answered, while the leader's renewal of its lease was overdue.
+    pub(crate) fn reaches_store(&self, now: ClockTime) -> bool {
+        self.store_reached_at.is_some_and(|at| now.since_ms(at) < REACHED_MS)
+    }
+
     /// A call of the store that was sent at `sent_at` has failed.
     pub(crate) fn store_failed(&mut self, sent_at: ClockTime, now: ClockTime) {
         self.store_failed_at = Some(now);
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -7,7 +7,7 @@
 use cowslip_entry::{GrantBook, LeaderHandover, LoadPlanner, ReceivedHandover, heard_ms, rank_of};
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
 use cowslip_platform::{RowValue, TableService};
-use cowslip_units::ClockTime;
+use cowslip_units::{ClockTime, FenceNumber};
 use slog::{info, warn};
 
 use crate::gateway_metrics::OutcomeLabels;
@@ -36,6 +36,19 @@
 /// Longest sleep in ms between two looks at the lease.
 const LOOK_MS: u64 = 100;
 
+/// Time in ms since the last renewal that was told from which a renewal is overdue: the pause between two, a call that is
+/// not answered, and a report's pause.
+const OVERDUE_MS: u64 = 1_300;
+
+/// Time in ms since its last renewal from which a leader gives its lease up to one that reaches the store.
+const RESIGN_MS: u64 = 1_100;
+
+/// Time in ms that each candidate leaves to those before it in the order of a hash to find out whether the store answers.
+const PROBE_RANK_MS: u64 = 120;
+
+/// Pause in ms between two such calls of a gateway.
+const PROBE_PAUSE_MS: u64 = 500;
+
 /// Time in ms on top of two reports without an answer of the leader after which a candidate reads the lease row.
 const SILENT_MS: u64 = 100;
 
@@ -80,10 +93,24 @@
         if gateway.lock().stopping_at.is_some() {
             lease.release(now);
         }
+        if std::mem::take(&mut gateway.lock().resigned) {
+            lease.give_up(now);
+        }
         settle_lead(&gateway, &lease, now);
         if lease.is_released() {
             return;
         }
+        if let Some(received) = &gateway.lock().received {
+            lease.told_given_up(FenceNumber::new(received.told.term));
+        }
+        if must_probe(&gateway, now) {
+            let result = gateway.store.read(LEASE_KEY).await;
+            count_store(&gateway, "lease_read", result.is_err());
+            lease.read_answered(&result, gateway.now());
+            log_lease(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
+            probed(&gateway, result.is_ok(), now);
+            continue;
+        }
         if follows_well(&gateway, &lease, now) {
             gateway.clock.sleep_ms(LOOK_MS).await;
             continue;
@@ -132,6 +159,47 @@
     gateway.settings.weak && state.member_count() > SMALL_FLEET
 }
 
+/// True when the leader has not renewed its lease in time, and this gateway, by its rank, is to find out whether the store
+/// answers others.
+fn must_probe(gateway: &Gateway, now: ClockTime) -> bool {
+    let state = gateway.lock();
+    if state.lead.is_some() || state.leader_lost_at.is_some() || is_weak(gateway, &state) {
+        return false;
+    }
+    let rank = rank_of(state.term, &gateway.settings.name, &state.members) as u64;
+    let wait_ms = OVERDUE_MS + (rank * PROBE_RANK_MS).min(LEASE_MS);
+    let overdue = state.lease_told.is_some_and(|(_, renewed_at)| now.since_ms(renewed_at) >= wait_ms);
+    let heard = state.leader_heard_at.is_some_and(|at| now.since_ms(at) < heard_ms(state.members.len()));
+    overdue && heard && state.probed_at.is_none_or(|at| now.since_ms(at) >= PROBE_PAUSE_MS)
+}
+
+/// Takes note of a probe that was sent at `sent_at`, and tells the leader at once when the store answers.
+fn probed(gateway: &Gateway, answered: bool, sent_at: ClockTime) {
+    let mut state = gateway.lock();
+    state.probed_at = Some(sent_at);
+    if answered {
+        state.store_reached_at = Some(sent_at);
+        gateway.report_now.notify_one();
+    }
+}
+
+/// Ends the leader's duties in favour of a gateway that reaches the store, while this one has failed to renew its lease. The
+/// lease itself is given up by its loop, which may be waiting for the store.
+pub(crate) fn resign_if_cut_off(gateway: &Gateway, state: &mut GatewayState, now: ClockTime) {
+    let mut shared = gateway.lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let renewed_at = shared.as_ref().filter(|lease| lease.is_failing()).and_then(|lease| lease.renewal(now));
+    let overdue = renewed_at.is_some_and(|(_, renewed_at)| now.since_ms(renewed_at) >= RESIGN_MS);
+    let Some(mut lead) = state.lead.take_if(|_| overdue) else { return };
+    *shared = None;
+    drop(shared);
+    let fence = lead.fence;
+    state.given = Some((lead.handover(order_gap_ms(&gateway.settings), now), now));
+    state.resigned = true;
+    state.leader = None;
+    state.leader_lost_at = Some(now);
+    warn!(gateway.logger, "lead_resigned"; "fence" => fence.get());
+}
+
 /// True while a leader answers this gateway's reports, or others should take its lease first: the row need not be read.
 fn follows_well(gateway: &Gateway, lease: &LeaderLease, now: ClockTime) -> bool {
     let state = gateway.lock();
@@ -141,6 +209,8 @@
     let rank_ms = (rank * RANK_MS).min(most_ms);
     let weak_ms = if is_weak(gateway, &state) { WEAK_MS } else { 0 };
     let heard = match state.leader_lost_at {
+        // The one that has just reached the store, for which the leader gave its lease up, waits for nobody.
+        Some(_) if state.reaches_store(now) => false,
         Some(lost_at) => now.since_ms(lost_at) < rank_ms + weak_ms.min(WEAK_LOST_MS),
         None => {
             let silent_ms = heard_ms(state.members.len()) + SILENT_MS + rank_ms + weak_ms;
@@ -156,6 +226,9 @@
     if let Some(members) = lease.members() {
         learn_fleet(&mut gateway.lock(), &gateway.settings.name, members as usize, gateway.now());
     }
+    if gateway.lock().resigned {
+        return;
+    }
     let address: Option<SocketAddr> = lease.holder().and_then(|holder| holder.vm.as_str().parse().ok());
     if let Some(address) = address {
         let mut state = gateway.lock();
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -18,7 +18,7 @@
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
-use crate::leader_duty::{SMALL_FLEET, take_handover};
+use crate::leader_duty::{SMALL_FLEET, resign_if_cut_off, take_handover};
 use crate::own_parts::learn_fleet;
 use crate::store_follow::{take_copy, take_news, view_copy};
 
@@ -78,6 +78,9 @@
         let fleet = state.fleet.unwrap_or_default() as u32;
         return LeaderAnswer { leader, fleet, ..LeaderAnswer::default() };
     }
+    if report.reaches_store && report.may_lead {
+        resign_if_cut_off(gateway, state, now);
+    }
     let view = state.stamp(now);
     let config = state.view.config().cloned();
     let leader = state.leader;
--- a/crates/cowslip-gateway/src/report_draft.rs
+++ b/crates/cowslip-gateway/src/report_draft.rs
@@ -44,6 +44,7 @@
             running: if brief { Vec::new() } else { self.running.clone() },
             tokens,
             may_lead: !settings.weak || self.member_count() <= SMALL_FLEET,
+            reaches_store: self.reaches_store(now),
             leaving: self.book.notices().leaving().cloned().collect(),
             brief,
         }
