gateway logs: by what knowledge a request is sent, each failed call of the store, and how late the process itself is

Change: lines sent_by_old_knowledge and store_call_failed, both bounded by the limits that there are, and a histogram timer_late_seconds, drawn from timers that fire anyway. No decision changes.

Tests: delay_cases.rs.

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod operator_view;
 mod own_part;
 mod planned_engine;
+mod process_delay;
 mod rendezvous;
 mod repeat_budget;
 mod report_times;
@@ -66,6 +67,7 @@
 pub use operator_view::{OperatorChange, OperatorRow, OperatorView, ViewOutcome};
 pub use own_part::{OwnPart, PartTerms};
 pub use planned_engine::{PlannedEngine, WeightTier};
+pub use process_delay::ProcessDelay;
 pub use rendezvous::{pair_weight, rank_of, text_hash};
 pub use repeat_budget::{RepeatBudget, RepeatLimit};
 pub use report_times::{
--- a/crates/cowslip-entry/src/upstream_proof.rs
+++ b/crates/cowslip-entry/src/upstream_proof.rs
@@ -53,8 +53,17 @@
 
     /// True when requests may be sent by what is known.
     pub fn allows(&self, limit_ms: u64, now: ClockTime) -> bool {
-        let young = |at: ClockTime| now.plus_ms(SEND_MARGIN_MS).since_ms(at) < limit_ms;
-        self.proven_at.is_some_and(young) || self.out_of_reach(now)
+        self.is_young(limit_ms, now) || self.out_of_reach(now)
+    }
+
+    /// True when what is known is younger than the limit, with time for a request to arrive.
+    pub fn is_young(&self, limit_ms: u64, now: ClockTime) -> bool {
+        self.proven_at.is_some_and(|at| now.plus_ms(SEND_MARGIN_MS).since_ms(at) < limit_ms)
+    }
+
+    /// Time in ms since the first own call that failed and was not followed by a proof.
+    pub fn failing_ms(&self, now: ClockTime) -> Option<u64> {
+        self.failing_since.map(|since| now.since_ms(since))
     }
 
     fn out_of_reach(&self, now: ClockTime) -> bool {
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod book_cases;
 mod config_cases;
+mod delay_cases;
 mod demand_cases;
 mod grant_runs;
 mod handover_cases;
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -68,6 +68,8 @@
     pub wait_s: Histogram,
     /// Time of calls to the store that do not wait, in seconds.
     pub store_s: Histogram,
+    /// How late own timers fire, in seconds.
+    pub timer_late_s: Histogram,
 }
 
 impl GatewayMetrics {
@@ -95,6 +97,7 @@
             first_byte_s: times(),
             wait_s: times(),
             store_s: times(),
+            timer_late_s: times(),
         };
         metrics.register();
         metrics
@@ -121,6 +124,7 @@
         registry.register("first_byte_seconds", "Time to the first byte", self.first_byte_s.clone());
         registry.register("wait_seconds", "Time that requests waited", self.wait_s.clone());
         registry.register("store_seconds", "Time of store calls", self.store_s.clone());
+        registry.register("timer_late_seconds", "How late own timers fire", self.timer_late_s.clone());
     }
 
     /// All metrics as text.
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -5,9 +5,9 @@
 
 use cowslip_adapter::{NodeSettings, StoreClient, StoreRow};
 use cowslip_entry::{
-    ArrivalLine, LeaderHandover, ModelNeed, NewsMarks, OperatorView, PickScope, ReceivedHandover,
-    RepeatBudget, RequestNeed, RunningLine, ServiceRule, StoreTrouble, TokenPurse, UpstreamBook,
-    UpstreamPick, UpstreamProof, ViewStamp, WaitCause,
+    ArrivalLine, LeaderHandover, ModelNeed, NewsMarks, OperatorView, PickScope, ProcessDelay,
+    ReceivedHandover, RepeatBudget, RequestNeed, RunningLine, ServiceRule, StoreTrouble, TokenPurse,
+    UpstreamBook, UpstreamPick, UpstreamProof, ViewStamp, WaitCause,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::ProcessClock;
@@ -107,6 +107,8 @@
     pub store_failed_at: Option<ClockTime>,
     /// Whether calls failed for long.
     pub store_trouble: StoreTrouble,
+    /// How late this process runs.
+    pub delay: ProcessDelay,
     /// Names of all gateways, sorted.
     pub members: Vec<SmolStr>,
     /// Size of the fleet as the lease row or a leader said; `None` before either did.
@@ -218,6 +220,14 @@
         self.clock.now()
     }
 
+    /// Takes note that a timer of `wait_ms` that was set at `set_at` fired now.
+    pub(crate) fn note_timer(&self, set_at: ClockTime, wait_ms: u64) {
+        let now = self.now();
+        let late_ms = now.since_ms(set_at.plus_ms(wait_ms));
+        self.lock().delay.note(late_ms, now);
+        self.metrics.timer_late_s.observe(late_ms as f64 / 1_000.0);
+    }
+
     /// True when a line about a request may be logged now.
     pub(crate) fn may_log(&self) -> bool {
         let (allowed, left_out) = self.lock().lines.take(self.now());
@@ -245,6 +255,7 @@
             behind: false,
             store_failed_at: None,
             store_trouble: StoreTrouble::default(),
+            delay: ProcessDelay::default(),
             members: Vec::new(),
             fleet: None,
             peers: Vec::new(),
--- a/crates/cowslip-gateway/src/request_context.rs
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -7,6 +7,7 @@
 use cowslip_entry::{FleetConfig, RouteRule, TeamRule};
 use cowslip_units::{ClockTime, ErrorKind, UpstreamId};
 use http::{HeaderMap, Method};
+use slog::info;
 use smol_str::SmolStr;
 
 use crate::gateway_state::Gateway;
@@ -104,5 +105,27 @@
             return false;
         }
     }
-    now.since_ms(checked_at) < CHECK_HOLDS_MS || admit(gateway, context).is_ok()
+    let allowed = now.since_ms(checked_at) < CHECK_HOLDS_MS || admit(gateway, context).is_ok();
+    if allowed {
+        log_old_knowledge(gateway, context, upstream, now);
+    }
+    allowed
+}
+
+/// Logs a send that rests on an entry which is no longer in the store, or on knowledge that is older than a leaving
+/// upstream may be sent to.
+fn log_old_knowledge(gateway: &Gateway, context: &RequestContext, upstream: &UpstreamId, now: ClockTime) {
+    let mut state = gateway.lock();
+    let proof = state.upstream_proof;
+    let removed_at = state.book.get(upstream).and_then(|known| known.removed_at);
+    if removed_at.is_none() && proof.is_young(gateway.settings.drain_ms, now) {
+        return;
+    }
+    let late_ms = state.delay.longest_ms(now);
+    drop(state);
+    if gateway.may_log() {
+        info!(gateway.logger, "sent_by_old_knowledge"; "request" => %context.caller.attempt, "upstream" => %upstream,
+            "proof_age_ms" => proof.proven_at().map(|at| now.since_ms(at)), "failing_ms" => proof.failing_ms(now),
+            "removed_ms" => removed_at.map(|at| now.since_ms(at)), "timer_late_ms" => late_ms);
+    }
 }
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -145,7 +145,9 @@
         let result = match next_step(&gateway, table, history_lost) {
             FollowStep::Rest => {
                 // Woken or not, the next look decides.
-                let _ = timeout(Duration::from_millis(REST_MS), gateway.follow_now.notified()).await;
+                if timeout(Duration::from_millis(REST_MS), gateway.follow_now.notified()).await.is_err() {
+                    gateway.note_timer(sent_at, REST_MS);
+                }
                 continue;
             }
             FollowStep::ReadAll => read_all(&gateway, table, sent_at).await,
@@ -163,24 +165,31 @@
                 pause_ms = PAUSE_MS.0;
             }
             Err(error) => {
-                follow_failed(&gateway, table, sent_at);
+                follow_failed(&gateway, table, sent_at, &error);
                 if !lost {
                     warn!(gateway.logger, "store_lost"; "table" => table.name(), "error" => %error);
                     lost = true;
                 }
+                let slept_at = gateway.now();
                 gateway.clock.sleep_ms(pause_ms).await;
+                gateway.note_timer(slept_at, pause_ms);
                 pause_ms = (pause_ms * 2).min(longest_pause_ms(&gateway));
             }
         }
     }
 }
 
-fn follow_failed(gateway: &Gateway, table: FollowedTable, sent_at: ClockTime) {
+fn follow_failed(gateway: &Gateway, table: FollowedTable, sent_at: ClockTime, error: &PlatformError) {
+    let now = gateway.now();
     let mut state = gateway.lock();
-    state.store_failed(sent_at, gateway.now());
+    state.store_failed(sent_at, now);
     if table == FollowedTable::Upstreams {
         state.upstream_proof.failed(sent_at);
     }
+    let late_ms = state.delay.longest_ms(now);
+    drop(state);
+    info!(gateway.logger, "store_call_failed"; "table" => table.name(), "error" => %error,
+        "after_ms" => now.since_ms(sent_at), "timer_late_ms" => late_ms);
 }
 
 /// Longest pause in ms after failed calls.
