store: a full page of changes is no proof of the newest state

What callers saw: on the large site requests reached upstreams 4.2 to 4.6 s after they had said that they leave (bound 4 s).

Cause: an answer of the store's feed holds 500 rows at most, and names the version that it reaches; nothing else in it says that more follow. StoreClient::follow took it for all changes, and the knowledge of upstreams was dated by the call. 150 of 295 VMs ask for themselves each 3 s while 170 rows change a second: every answer was full, every VM some seconds behind, and its proof counted as new.

Change: the client tells a part of the changes from all of them. A part is applied and proves nothing, neither of upstreams nor of the configuration; the next page is asked for at once.

--- a/crates/cowslip-entry/src/operator_view.rs
+++ b/crates/cowslip-entry/src/operator_view.rs
@@ -97,6 +97,16 @@
 
     /// Applies the changes of a feed that was asked at `sent_at` and knows the table up to `version`.
     pub fn apply(&mut self, changes: Vec<OperatorChange>, version: u64, sent_at: ClockTime) -> ViewOutcome {
+        let applies = version >= self.version;
+        let outcome = self.apply_part(changes, version);
+        if applies {
+            self.prove(self.changed, sent_at);
+        }
+        outcome
+    }
+
+    /// Applies the first changes of a feed, up to `version`. More may follow, so that they prove nothing.
+    pub fn apply_part(&mut self, changes: Vec<OperatorChange>, version: u64) -> ViewOutcome {
         let mut outcome = ViewOutcome::default();
         if version < self.version {
             return outcome;
@@ -105,7 +115,6 @@
             self.apply_change(change, &mut outcome);
         }
         self.version = version;
-        self.prove(self.changed, sent_at);
         outcome
     }
 
--- a/crates/cowslip-entry/tests/entry/view_cases.rs
+++ b/crates/cowslip-entry/tests/entry/view_cases.rs
@@ -73,3 +73,15 @@
     assert_eq!(version(&view), Some(1));
     assert_eq!(view.age_ms(at(10)), Some(0));
 }
+
+/// Guards against a view that counts as fresh by the first of several pages: a withdrawn key may stand on the next one.
+#[test]
+fn a_part_of_the_changes_proves_nothing() {
+    let mut view = OperatorView::new();
+    view.apply(vec![config(1, 1)], 1, at(0));
+    let outcome = view.apply_part(vec![config(4, 2)], 4);
+    assert_eq!((outcome.config, version(&view)), (Some(2), Some(2)));
+    assert_eq!(view.age_ms(at(1_000)), Some(1_000));
+    view.apply(vec![config(9, 3)], 9, at(900));
+    assert_eq!(view.age_ms(at(1_000)), Some(100));
+}
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -89,6 +89,17 @@
     }
 }
 
+/// How much of a table an answer tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadExtent {
+    /// All rows.
+    Table,
+    /// All changes since those that are known.
+    Changes,
+    /// The first changes since; more may follow.
+    Part,
+}
+
 /// What a loop does next.
 enum FollowStep {
     /// The leader keeps this gateway informed.
@@ -217,12 +228,14 @@
     gateway.metrics.store_s.observe(gateway.now().since_ms(sent_at) as f64 / 1_000.0);
     let version = rows.version;
     match table {
-        FollowedTable::Operators => take_operators(gateway, rows, true, sent_at),
-        FollowedTable::Upstreams => take_upstreams(gateway, rows, true, sent_at),
+        FollowedTable::Operators => take_operators(gateway, rows, ReadExtent::Table, sent_at),
+        FollowedTable::Upstreams => take_upstreams(gateway, rows, ReadExtent::Table, sent_at),
     }
     Ok(Some(version))
 }
 
+/// Reads the changes after a version, page by page, up to the newest state of the store. What is known is proven by the
+/// call that brought the last of them.
 async fn follow_once(
     gateway: &Arc<Gateway>,
     table: FollowedTable,
@@ -230,27 +243,35 @@
     wait_ms: u64,
     sent_at: ClockTime,
 ) -> Result<Option<u64>, PlatformError> {
-    let result = gateway.store.follow(table.name(), after, wait_ms).await;
-    count(gateway, "follow", result.is_err());
-    match result? {
-        FeedOutcome::HistoryLost => {
-            info!(gateway.logger, "history_lost"; "table" => table.name(), "version" => after);
-            Ok(None)
-        }
-        FeedOutcome::Changes(rows) => {
-            let version = rows.version.max(after);
-            let rows = StoreRows { rows: rows.rows, version };
-            match table {
-                FollowedTable::Operators => take_operators(gateway, rows, false, sent_at),
-                FollowedTable::Upstreams => take_upstreams(gateway, rows, false, sent_at),
+    let (mut after, mut wait_ms, mut sent_at) = (after, wait_ms, sent_at);
+    loop {
+        let result = gateway.store.follow(table.name(), after, wait_ms).await;
+        count(gateway, "follow", result.is_err());
+        let (rows, extent) = match result? {
+            FeedOutcome::HistoryLost => {
+                info!(gateway.logger, "history_lost"; "table" => table.name(), "version" => after);
+                return Ok(None);
             }
-            Ok(Some(version))
+            FeedOutcome::Changes(rows) => (rows, ReadExtent::Changes),
+            FeedOutcome::Part(rows) => (rows, ReadExtent::Part),
+        };
+        let ends = extent != ReadExtent::Part || rows.version <= after;
+        after = rows.version.max(after);
+        let rows = StoreRows { rows: rows.rows, version: after };
+        match table {
+            FollowedTable::Operators => take_operators(gateway, rows, extent, sent_at),
+            FollowedTable::Upstreams => take_upstreams(gateway, rows, extent, sent_at),
+        }
+        if ends {
+            return Ok(Some(after));
         }
+        wait_ms = 0;
+        sent_at = gateway.now();
     }
 }
 
 /// Applies rows of the operators' table that were asked for at `sent_at`.
-fn take_operators(gateway: &Gateway, rows: StoreRows, full: bool, sent_at: ClockTime) {
+fn take_operators(gateway: &Gateway, rows: StoreRows, extent: ReadExtent, sent_at: ClockTime) {
     let mut changes: Vec<OperatorChange> = Vec::with_capacity(rows.rows.len());
     for row in &rows.rows {
         let (change, fault) = operator_change(row);
@@ -267,13 +288,13 @@
         // An older read would put old rows among the newer ones that are kept for other gateways.
         return;
     }
-    keep_rows(&mut state.operator_rows, rows.rows, full);
-    let outcome = if full {
-        state.view.replace(changes, version, sent_at)
-    } else {
-        state.view.apply(changes, version, sent_at)
+    keep_rows(&mut state.operator_rows, rows.rows, extent == ReadExtent::Table);
+    let outcome = match extent {
+        ReadExtent::Table => state.view.replace(changes, version, sent_at),
+        ReadExtent::Changes => state.view.apply(changes, version, sent_at),
+        ReadExtent::Part => state.view.apply_part(changes, version),
     };
-    state.behind = false;
+    state.behind &= extent == ReadExtent::Part;
     apply_outcome(gateway, &mut state, &outcome, now);
     let changed = outcome != ViewOutcome::default();
     let age_ms = state.view.age_ms(now);
@@ -307,14 +328,16 @@
 }
 
 /// Applies rows of the upstreams' table.
-fn take_upstreams(gateway: &Gateway, rows: StoreRows, full: bool, sent_at: ClockTime) {
+fn take_upstreams(gateway: &Gateway, rows: StoreRows, extent: ReadExtent, sent_at: ClockTime) {
     let now = gateway.now();
     let mut state = gateway.lock();
     if rows.version < state.upstream_version {
         return;
     }
     state.upstream_version = rows.version;
-    state.upstream_proof.prove(sent_at);
+    if extent != ReadExtent::Part {
+        state.upstream_proof.prove(sent_at);
+    }
     state.upstreams_known = true;
     let hold = state.store_trouble.may_lapse(now);
     let mut seen: Vec<UpstreamId> = Vec::new();
@@ -348,7 +371,7 @@
             }
         }
     }
-    if full {
+    if extent == ReadExtent::Table {
         let gone: Vec<UpstreamId> = state
             .book
             .all()
@@ -361,7 +384,7 @@
             info!(gateway.logger, "upstream_removed"; "upstream" => %id, "version" => rows.version, "held" => hold);
         }
     }
-    state.upstreams_full |= full;
+    state.upstreams_full |= extent == ReadExtent::Table;
     drop(state);
     gateway.changed.notify_waiters();
     gateway.lead_now.notify_one();
@@ -418,7 +441,7 @@
     let Some(age_ms) = copy.view.age_ms else { return };
     let operators = StoreRows { rows: rows(copy.operator_rows), version: copy.view.version };
     info!(gateway.logger, "view_copied"; "store_version" => operators.version, "age_ms" => age_ms);
-    take_operators(gateway, operators, true, asked_at.minus_ms(age_ms));
+    take_operators(gateway, operators, ReadExtent::Table, asked_at.minus_ms(age_ms));
     let upstreams = copy.upstreams.into_iter().map(|entry| (entry.id.clone(), Some(entry))).collect();
     let mut state = gateway.lock();
     if state.lead.is_none() {
