leader news: a large fleet is told everything by time and not by plans

Change: how many gateways are told everything follows from the time since the last note and the number of entries. The least of two with each plan stays.

--- a/crates/cowslip-entry/src/leader_news.rs
+++ b/crates/cowslip-entry/src/leader_news.rs
@@ -11,9 +11,15 @@
     AdapterName, NewsLog, NewsMarks, PlannedEngine, UpstreamBook, UpstreamEntry, ViewStamp, adapters_of,
 };
 
-/// Gateways that are told everything between two plans at most. A new leader that told all of a large fleet at once was
-/// busy for longer than its lease.
-const WHOLE_ANSWERS: u32 = 2;
+/// Entries a second that are told to gateways which need everything. A new leader that told all of a large fleet at once
+/// was busy for longer than its lease; one that told a few of them with each plan left the others to the store.
+const WHOLE_ENTRIES_PER_S: u64 = 32_000;
+
+/// Gateways that are told everything between two plans, however many entries there are.
+const LEAST_WHOLE: u64 = 2;
+
+/// Longest time in ms between two plans for which entries are told later.
+const WHOLE_SPAN_MS: u64 = 300;
 
 /// The part of an answer that tells news.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -39,7 +45,9 @@
     adapters: NewsLog<UpstreamId, Vec<AdapterName>>,
     members: NewsLog<SmolStr, ()>,
     /// Gateways that may still be told everything before the next plan.
-    whole_left: u32,
+    whole_left: u64,
+    /// When news were last noted.
+    noted_at: Option<ClockTime>,
     /// Store version of the noted upstreams.
     version: u64,
     /// When the noted upstreams were proven.
@@ -60,12 +68,19 @@
         engines: &[PlannedEngine],
         now: ClockTime,
     ) {
-        self.whole_left = WHOLE_ANSWERS;
+        self.whole_left = self.whole_answers(book.all().len() as u64, now);
+        self.noted_at = Some(now);
         self.members.sync(members.into_iter().map(|name| (name, ())));
         self.upstreams.sync(book.told_entries().map(|entry| (entry.id.clone(), entry)));
         self.adapters.sync(engines.iter().map(|engine| (engine.entry.id.clone(), adapters_of(engine, now))));
     }
 
+    /// Gateways that may be told everything for the time since the last note.
+    fn whole_answers(&self, entries: u64, now: ClockTime) -> u64 {
+        let span_ms = self.noted_at.map_or(0, |at| now.since_ms(at)).min(WHOLE_SPAN_MS);
+        (span_ms * WHOLE_ENTRIES_PER_S / 1_000 / entries.max(1)).max(LEAST_WHOLE)
+    }
+
     /// Notes of what store version the upstreams are known, and when that was proven.
     pub fn note_proof(&mut self, version: u64, proven_at: Option<ClockTime>) {
         self.version = version;
--- a/crates/cowslip-entry/tests/entry/news_cases.rs
+++ b/crates/cowslip-entry/tests/entry/news_cases.rs
@@ -65,6 +65,25 @@
     assert!(!news.tell(true, NewsMarks::default()).deferred);
 }
 
+/// Guards against a new leader of a large fleet that plans seldom and tells a few gateways each time: the others knew of
+/// no change but what they read themselves, for fifteen seconds.
+#[rstest]
+#[case::often(30)]
+#[case::seldom(170)]
+fn a_large_fleet_is_told_everything_within_some_seconds(#[case] plan_ms: u64) {
+    let names: Vec<String> = (0..320).map(|number| format!("e{number}")).collect();
+    let entries: Vec<UpstreamEntry> = names.iter().map(|name| versioned(name, 3, false)).collect();
+    let book = book(&entries);
+    let mut news = LeaderNews::new();
+    let (mut told, mut now) = (0, 0);
+    while told < 295 {
+        now += plan_ms;
+        news.note(vec![SmolStr::from("g1")], &book, &[], at(now));
+        told += (0..295 - told).filter(|_| !news.tell(false, NewsMarks::default()).deferred).count();
+    }
+    assert!(now <= 4_000, "{now} ms");
+}
+
 /// Guards against a new leader's older knowledge undoing what a gateway has read itself: that an upstream leaves, has
 /// gone, or has come.
 #[rstest]
--- a/crates/cowslip-platform/tests/slow_answers.rs
+++ b/crates/cowslip-platform/tests/slow_answers.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,16 @@
 
 const TIMEOUT_MS: u64 = 200;
 
+fn read_of(address: SocketAddr) -> CallRequest {
+    CallRequest {
+        kind: CallKind::Read,
+        method: Method::GET,
+        uri: format!("http://{address}/rows"),
+        body: Bytes::new(),
+        content_type: "application/json",
+    }
+}
+
 /// Answers one call: the head after `head_ms`, the last bytes of the body after `rest_ms` more.
 async fn slow_server(head_ms: u64, rest_ms: u64) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
@@ -45,17 +56,48 @@
     #[case] expected: Option<&str>,
 ) {
     let address = slow_server(head_ms, rest_ms).await;
-    let call = CallRequest {
-        kind: CallKind::Read,
-        method: Method::GET,
-        uri: format!("http://{address}/rows"),
-        body: Bytes::new(),
-        content_type: "application/json",
-    };
-    let outcome = HttpCaller::new().with_rest_ms(800).call_any(call, TIMEOUT_MS).await;
+    let outcome = HttpCaller::new().with_rest_ms(800).call_any(read_of(address), TIMEOUT_MS).await;
     match (outcome, expected) {
         (Ok((_, body)), Some(expected)) => assert_eq!(body, expected),
         (Err(PlatformError::InDoubt(_)), None) => {}
         (outcome, expected) => panic!("{outcome:?} instead of {expected:?}"),
     }
 }
+
+/// Answers each call at once, on a thread of its own.
+fn prompt_server() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut request = [0; 1024];
+            // A caller that has given up is not there any more.
+            if stream.read(&mut request).unwrap_or(0) > 0 {
+                drop(
+                    stream
+                        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nrows"),
+                );
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a process that was held up for longer than its own time-out and takes that for a silent service.
+#[rstest]
+#[case::while_connecting(0)]
+#[case::after_some_turns(3)]
+#[tokio::test]
+async fn a_caller_that_was_held_up_itself_still_gets_its_answer(#[case] turns: usize) {
+    let address = prompt_server();
+    let caller = HttpCaller::new();
+    let hold_up = async {
+        for _ in 0..turns {
+            tokio::task::yield_now().await;
+        }
+        std::thread::sleep(Duration::from_millis(3 * TIMEOUT_MS));
+    };
+    let (outcome, ()) = tokio::join!(caller.call_any(read_of(address), TIMEOUT_MS), hold_up);
+    assert_eq!(outcome.unwrap().1, "rows");
+}
