store calls: a delay of the own process is not counted as the service's silence

Cause: the time-out of a call was a point in time. What follows from a silent store (old knowledge is good enough, entries that go are held, the lease is not renewed) then followed from the own delay.

Change: CallBudget counts a wait as long as it was meant to be, in slices of 100 ms.

Test: a_caller_that_was_held_up_itself_still_gets_its_answer (both cases failed before with "no connection within the time-out" or "no answer within the time-out").

--- a/crates/cowslip-platform/src/http_caller.rs
+++ b/crates/cowslip-platform/src/http_caller.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use crate::PlatformError;
+use crate::call_budget::CallBudget;
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, StatusCode};
@@ -12,9 +14,6 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use tokio::time::{Instant, timeout_at};
-
-use crate::PlatformError;
 
 /// Largest accepted answer in bytes, unless a caller sets less.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -117,10 +116,10 @@
         call: CallRequest,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let deadline = Instant::now() + Duration::from_millis(timeout_ms);
-        match self.attempt(&call, deadline).await {
+        let mut budget = CallBudget::new(timeout_ms);
+        match self.attempt(&call, &mut budget).await {
             Err(failed) if failed.connection_failed && call.kind == CallKind::Read => {
-                self.attempt(&call, deadline).await.map_err(|failed| failed.error)
+                self.attempt(&call, &mut budget).await.map_err(|failed| failed.error)
             }
             outcome => outcome.map_err(|failed| failed.error),
         }
@@ -129,7 +128,7 @@
     async fn attempt(
         &self,
         call: &CallRequest,
-        deadline: Instant,
+        budget: &mut CallBudget,
     ) -> Result<(StatusCode, Bytes), FailedAttempt> {
         let mut request = Request::builder()
             .method(call.method.clone())
@@ -138,28 +137,28 @@
             .body(Full::new(call.body.clone()))
             .map_err(|error| FailedAttempt::new(PlatformError::NotConnected(error.to_string())))?;
         let captured = capture_connection(&mut request);
-        let response = match timeout_at(deadline, self.client.request(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_connect() => {
+        let response = match budget.run(self.client.request(request)).await {
+            Some(Ok(response)) => response,
+            Some(Err(error)) if error.is_connect() => {
                 return Err(FailedAttempt::new(PlatformError::NotConnected(full_message(&error))));
             }
-            Ok(Err(error)) => return Err(FailedAttempt::connection(full_message(&error))),
-            Err(_) if captured.connection_metadata().is_none() => {
+            Some(Err(error)) => return Err(FailedAttempt::connection(full_message(&error))),
+            None if captured.connection_metadata().is_none() => {
                 let message = "no connection within the time-out".to_owned();
                 return Err(FailedAttempt::new(PlatformError::NotConnected(message)));
             }
-            Err(_) => {
+            None => {
                 let message = "no answer within the time-out".to_owned();
                 return Err(FailedAttempt::new(PlatformError::InDoubt(message)));
             }
         };
         let status = response.status();
-        let deadline = deadline.max(Instant::now() + Duration::from_millis(self.rest_ms));
+        budget.raise(self.rest_ms);
         let body = Limited::new(response.into_body(), self.max_answer_bytes);
-        let body = match timeout_at(deadline, body.collect()).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) => return Err(FailedAttempt::connection(error.to_string())),
-            Err(_) => {
+        let body = match budget.run(body.collect()).await {
+            Some(Ok(collected)) => collected.to_bytes(),
+            Some(Err(error)) => return Err(FailedAttempt::connection(error.to_string())),
+            None => {
                 let message = "the answer was not complete within the time-out".to_owned();
                 return Err(FailedAttempt::new(PlatformError::InDoubt(message)));
             }
--- a/crates/cowslip-platform/src/lib.rs
+++ b/crates/cowslip-platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! The wire formats are in `docs/interfaces.md`. Each trait has a table of contract tests that runs against the
 //! stand-ins over sockets.
 
+mod call_budget;
 mod engine_client;
 mod engine_orders;
 mod http_caller;
