upstream proof: one slow call is no silent store

Cause: UpstreamProof counted the store as out of reach 0.7 s after the send of the first call that failed. A single call that took longer than that to fail (1.85 s when the rest of its answer is late) let everything go by old knowledge at once.

Change: two failed calls at least, without an answer to any; a page that proves nothing still is an answer.

Tests: case one_slow_failure (failed before). a_proof_ends_what_failed_before_it and what_was_never_proven_is_not_sent_by took one failure for silence, which is this fault: they now make two, and the first also checks that an answer ends them.

--- a/crates/cowslip-entry/src/upstream_proof.rs
+++ b/crates/cowslip-entry/src/upstream_proof.rs
@@ -20,11 +20,15 @@
 /// Time in ms without an answer to any call, from the first that failed, after which the store counts as out of reach.
 const SILENT_MS: u64 = 700;
 
+/// Failed calls without an answer to any that this takes at least. A single call may have been slow.
+const LEAST_FAILURES: u32 = 2;
+
 /// The proof of what is known of upstreams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamProof {
     proven_at: Option<ClockTime>,
     failing_since: Option<ClockTime>,
+    failures: u32,
 }
 
 impl UpstreamProof {
@@ -36,13 +40,24 @@
     /// A store call that was sent at `at` proved the knowledge.
     pub fn prove(&mut self, at: ClockTime) {
         self.proven_at = self.proven_at.max(Some(at));
-        self.failing_since = self.failing_since.filter(|since| *since > at);
+        self.answered(at);
+    }
+
+    /// The store answered a call that was sent at `at`, be it with less than proves the knowledge.
+    pub fn answered(&mut self, at: ClockTime) {
+        if self.failing_since.is_some_and(|since| since <= at) {
+            self.failing_since = None;
+            self.failures = 0;
+        }
     }
 
     /// An own call that was sent at `sent_at` has failed.
     pub fn failed(&mut self, sent_at: ClockTime) {
-        let since = self.failing_since.unwrap_or(sent_at);
-        self.failing_since = self.proven_at.is_none_or(|at| since > at).then_some(since);
+        if self.failing_since.is_none() && self.proven_at.is_some_and(|at| sent_at <= at) {
+            return;
+        }
+        self.failing_since = self.failing_since.or(Some(sent_at));
+        self.failures += 1;
     }
 
     /// True when the store must be asked, where a leaving upstream may get requests for `limit_ms`.
@@ -67,6 +82,7 @@
     }
 
     fn out_of_reach(&self, now: ClockTime) -> bool {
-        self.failing_since.is_some_and(|since| now.since_ms(since) >= SILENT_MS)
+        self.failures >= LEAST_FAILURES
+            && self.failing_since.is_some_and(|since| now.since_ms(since) >= SILENT_MS)
     }
 }
--- a/crates/cowslip-entry/tests/entry/proof_cases.rs
+++ b/crates/cowslip-entry/tests/entry/proof_cases.rs
@@ -34,6 +34,7 @@
 /// that.
 #[rstest]
 #[case::one_failure(&[14_000], 14_100, false)]
+#[case::one_slow_failure(&[14_000], 15_900, false)]
 #[case::failures_for_long(&[14_000, 14_400], 14_700, true)]
 #[case::answered_between(&[13_000, 13_400], 14_000, true)]
 fn without_the_store_old_knowledge_is_good_enough(
@@ -58,7 +59,10 @@
     proof.failed(at(11_900));
     assert!(!proof.allows(LIMIT_MS, at(16_100)), "failures before the proof");
     proof.failed(at(16_100));
+    proof.failed(at(16_500));
     assert!(proof.allows(LIMIT_MS, at(16_900)), "failures since");
+    proof.answered(at(16_800));
+    assert!(!proof.allows(LIMIT_MS, at(16_900)), "the store answered, and did not yet tell everything");
 }
 
 /// Guards against knowledge that nothing has proven.
@@ -67,5 +71,6 @@
     let mut proof = UpstreamProof::default();
     assert!(proof.is_due(LIMIT_MS, at(0)) && !proof.allows(LIMIT_MS, at(0)));
     proof.failed(at(100));
+    proof.failed(at(500));
     assert!(proof.allows(LIMIT_MS, at(900)));
 }
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -335,7 +335,9 @@
         return;
     }
     state.upstream_version = rows.version;
-    if extent != ReadExtent::Part {
+    if extent == ReadExtent::Part {
+        state.upstream_proof.answered(sent_at);
+    } else {
         state.upstream_proof.prove(sent_at);
     }
     state.upstreams_known = true;
