notices: which start of an upstream is the later one is told by the store, not by its clock

Cause: NoticeBook dropped what a start said that is born before the known one. Where an upstream's clock was set back over a restart, its new start's Server-Leaving was dropped, and requests went on to it until its entry said so.

Change: for a known upstream the start in its entry counts; what other starts said is forgotten.

Test: a_start_with_an_earlier_time_of_birth_is_heard (failed before: the book accepted the leaving upstream).

--- a/crates/cowslip-entry/src/notice_book.rs
+++ b/crates/cowslip-entry/src/notice_book.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Forgets what other starts of that upstream said.
+    pub fn forget_others(&mut self, start: &UpstreamStart) {
+        self.notices.retain(|known| known.start.id != start.id || known.start.born == start.born);
+    }
+
     /// True when the upstream has said that it leaves.
     pub fn leaves(&self, entry: &UpstreamEntry) -> bool {
         self.get(entry).is_some_and(|notice| notice.leaving)
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -145,8 +145,15 @@
         &self.notices
     }
 
-    /// Takes what an answer of an upstream said of it.
+    /// Takes what an answer of an upstream said of it. Of a known upstream only the start in its entry counts: which of two
+    /// starts is the later one is for the store to say, whose entries are in order, and not for the upstream's clock.
     pub fn note(&mut self, start: &UpstreamStart, notice: AnswerNotice, now: ClockTime) {
+        if let Some(known) = self.get(&start.id) {
+            if known.entry.born != start.born {
+                return;
+            }
+            self.notices.forget_others(start);
+        }
         self.notices.note(start, notice, now);
     }
 
--- a/crates/cowslip-entry/tests/entry/notice_cases.rs
+++ b/crates/cowslip-entry/tests/entry/notice_cases.rs
@@ -49,6 +49,20 @@
     assert!(notices.leaves(&entry) && notices.away_ms(&entry, at(20)) == 0);
 }
 
+/// Guards against a notice that is dropped because an earlier start, before the upstream's clock was set back, seems to be
+/// the later one.
+#[test]
+fn a_start_with_an_earlier_time_of_birth_is_heard() {
+    let mut book = UpstreamBook::new();
+    book.put(entry_of(9, 1), at(0));
+    book.note(&start(9), LEAVING, at(10));
+    book.put(entry_of(4, 2), at(20));
+    assert!(book.accepts(&upstream("e1"), &[], at(30)), "it has started anew");
+    book.note(&start(4), LEAVING, at(40));
+    book.note(&start(9), away(5_000), at(50));
+    assert!(!book.accepts(&upstream("e1"), &[], at(60)));
+}
+
 /// Guards against a shorter time that ends a longer one.
 #[test]
 fn the_longest_time_holds() {
