store calls: an answer that began and did not end in time is no silence

Cause: a call whose answer had begun counted like one that was not answered. On a narrow link two slow answers of 450 KB made the store count as in trouble (entries that go are held and used) and as out of reach (old knowledge is sent by).

Change: PlatformError::Unfinished; such a call counts for neither, and the view of another gateway is still asked for.

Test: a_begun_answer_is_read_to_its_end now checks for each case whether the service counts as having answered; its former check of the kind InDoubt stands as in_doubt().

--- a/crates/cowslip-controller/src/engine_calls.rs
+++ b/crates/cowslip-controller/src/engine_calls.rs
@@ -83,6 +83,8 @@
         Ok(OrderReply::OldFence { .. }) => OrderAnswer::OldFence,
         Ok(OrderReply::Refused { reason }) => OrderAnswer::Refused { reason },
         Err(PlatformError::NotConnected(_) | PlatformError::Refused { .. }) => OrderAnswer::NotSent,
-        Err(PlatformError::InDoubt(_) | PlatformError::Malformed(_)) => OrderAnswer::InDoubt,
+        Err(PlatformError::InDoubt(_) | PlatformError::Unfinished(_) | PlatformError::Malformed(_)) => {
+            OrderAnswer::InDoubt
+        }
     }
 }
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -298,12 +298,6 @@
         self.store_reached_at.is_some_and(|at| now.since_ms(at) < REACHED_MS)
     }
 
-    /// A call of the store that was sent at `sent_at` has failed.
-    pub(crate) fn store_failed(&mut self, sent_at: ClockTime, now: ClockTime) {
-        self.store_failed_at = Some(now);
-        self.store_trouble.failed(sent_at, now);
-    }
-
     /// Chooses an upstream for a request.
     pub(crate) fn pick(
         &self,
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -193,9 +193,13 @@
 fn follow_failed(gateway: &Gateway, table: FollowedTable, sent_at: ClockTime, error: &PlatformError) {
     let now = gateway.now();
     let mut state = gateway.lock();
-    state.store_failed(sent_at, now);
-    if table == FollowedTable::Upstreams {
-        state.upstream_proof.failed(sent_at);
+    state.store_failed_at = Some(now);
+    // A slow answer does not tell that others miss the store too, or that entries can't be renewed.
+    if !error.was_answered() {
+        state.store_trouble.failed(sent_at, now);
+        if table == FollowedTable::Upstreams {
+            state.upstream_proof.failed(sent_at);
+        }
     }
     let late_ms = state.delay.longest_ms(now);
     drop(state);
--- a/crates/cowslip-platform/src/http_caller.rs
+++ b/crates/cowslip-platform/src/http_caller.rs
@@ -159,8 +159,8 @@
             Some(Ok(collected)) => collected.to_bytes(),
             Some(Err(error)) => return Err(FailedAttempt::connection(error.to_string())),
             None => {
-                let message = "the answer was not complete within the time-out".to_owned();
-                return Err(FailedAttempt::new(PlatformError::InDoubt(message)));
+                let message = "not complete within the time-out".to_owned();
+                return Err(FailedAttempt::new(PlatformError::Unfinished(message)));
             }
         };
         Ok((status, body))
--- a/crates/cowslip-platform/src/platform_error.rs
+++ b/crates/cowslip-platform/src/platform_error.rs
@@ -11,6 +11,9 @@
     /// The call was sent and its answer did not come whole: it may have taken effect.
     #[error("in doubt: {0}")]
     InDoubt(String),
+    /// The answer began and did not come whole in time: the call may have taken effect, and the service is there.
+    #[error("unfinished answer: {0}")]
+    Unfinished(String),
     /// The service refused the call before it took effect (overload, outage).
     #[error("refused with status {status}: {message}")]
     Refused {
@@ -27,6 +30,11 @@
 impl PlatformError {
     /// True when the call may have taken effect.
     pub const fn in_doubt(&self) -> bool {
-        matches!(self, Self::InDoubt(_) | Self::Malformed(_))
+        matches!(self, Self::InDoubt(_) | Self::Unfinished(_) | Self::Malformed(_))
+    }
+
+    /// True when the service answered, be it with something that is of no use.
+    pub const fn was_answered(&self) -> bool {
+        matches!(self, Self::Unfinished(_) | Self::Malformed(_))
     }
 }
--- a/crates/cowslip-platform/tests/common/mod.rs
+++ b/crates/cowslip-platform/tests/common/mod.rs
@@ -28,7 +28,7 @@
     match outcome {
         Ok(_) => None,
         Err(PlatformError::NotConnected(_)) => Some(Failure::NotConnected),
-        Err(PlatformError::InDoubt(_)) => Some(Failure::InDoubt),
+        Err(PlatformError::InDoubt(_) | PlatformError::Unfinished(_)) => Some(Failure::InDoubt),
         Err(PlatformError::Refused { status, .. }) => Some(Failure::Refused(*status)),
         Err(PlatformError::Malformed(_)) => Some(Failure::Malformed),
     }
--- a/crates/cowslip-platform/tests/slow_answers.rs
+++ b/crates/cowslip-platform/tests/slow_answers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cowslip_platform::{CallKind, CallRequest, HttpCaller, PlatformError};
+use cowslip_platform::{CallKind, CallRequest, HttpCaller};
 use http::Method;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -59,7 +59,11 @@
     let outcome = HttpCaller::new().with_rest_ms(800).call_any(read_of(address), TIMEOUT_MS).await;
     match (outcome, expected) {
         (Ok((_, body)), Some(expected)) => assert_eq!(body, expected),
-        (Err(PlatformError::InDoubt(_)), None) => {}
+        // A service whose answer has begun is not silent.
+        (Err(error), None) => {
+            assert!(error.in_doubt(), "{error}");
+            assert_eq!(error.was_answered(), head_ms < TIMEOUT_MS, "{error}");
+        }
         (outcome, expected) => panic!("{outcome:?} instead of {expected:?}"),
     }
 }
