leader: one whose lease ran out does not go on in its term

Cause: a leader whose lease runs out hands over, and whoever hears of it takes over at once when the store is back. The leader itself did not give its term up: where its renewal came first, it led on in the same term until its next renewal failed, beside the one that had taken over.

Ruled out: an order that was on its way for long (its expected number of orders was the present one, it was accepted).

Change: a leader that ends gives its term up, as one that resigns does.

Test: a_leader_whose_lease_ran_out_does_not_go_on_in_its_term (failed before: lead_began twice with fence 1).

--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -96,7 +96,7 @@
         if std::mem::take(&mut gateway.lock().resigned) {
             lease.give_up(now);
         }
-        settle_lead(&gateway, &lease, now);
+        settle_lead(&gateway, &mut lease, now);
         if lease.is_released() {
             return;
         }
@@ -271,7 +271,7 @@
 }
 
 /// Begins or ends the duties as the lease says.
-fn settle_lead(gateway: &Gateway, lease: &LeaderLease, now: ClockTime) {
+fn settle_lead(gateway: &Gateway, lease: &mut LeaderLease, now: ClockTime) {
     let epoch = lease.epoch(now);
     let mut state = gateway.lock();
     match (epoch, &state.lead) {
@@ -298,6 +298,8 @@
         }
         (None, Some(lead)) => {
             let fence = lead.fence;
+            // Others take over at once when they hear of the end.
+            lease.give_up(now);
             let mut ended = state.lead.take();
             let gap_ms = order_gap_ms(&gateway.settings);
             state.given = ended.as_mut().map(|lead| (lead.handover(gap_ms, now), now));
