--- a/crates/cowslip-entry/src/upstream_proof.rs
+++ b/crates/cowslip-entry/src/upstream_proof.rs
@@ -20,14 +20,16 @@
 /// Time in ms without an answer to any call, from the first that failed, after which the store counts as out of reach.
 const SILENT_MS: u64 = 700;
 
-/// Failed calls without an answer to any that this takes at least. A single call may have been slow.
+/// Calls that must have failed in a row for that: a single one may only have been slow.
 const LEAST_FAILURES: u32 = 2;
 
 /// The proof of what is known of upstreams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamProof {
     proven_at: Option<ClockTime>,
+    /// Send time of the first own call that failed since the store last answered.
     failing_since: Option<ClockTime>,
+    /// Own calls that failed since.
     failures: u32,
 }
 
