store: a store that comes back from an older copy is followed again, and takes nothing back

What callers would see: after such a return every read looked older than what was known and was dropped, nothing was proven any more, and 6 s later all requests were refused with 503 (a_store_that_comes_back_from_a_copy_is_followed_again, red before).

Cause: no answer's Store-Era was read, and versions were compared as if they never returned.

Change: the store's client puts the era above the version's bits, so that all that compares versions compares eras first; a rise counts when two answers in a row tell it (EraWatch). A feed that began in an older era is read anew, pages of two eras are no read, and a write whose condition is of an older era is answered with the present rows. A configuration never goes below its own version; evacuations stand until the operator's next word; what leaves or has just gone stays out of use until another start; no epoch is acted in below the highest known, a row that is older or missing is left alone for a whole lease, and the epochs of an era begin above all those before.

Ruled out by tests: with each guard taken out its test fails (older configuration, leaving and gone upstreams, older and missing lease row, outdated condition, an entry that had come back).

The leader is missed for some 3 s after a return.

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller_limits;
 mod cold_gate;
 mod engine_order;
+mod era_watch;
 mod fleet_config;
 mod fleet_messages;
 mod grant_book;
@@ -49,6 +50,7 @@
 pub use caller_limits::CallerLimits;
 pub use cold_gate::{ColdGate, ColdLimit};
 pub use engine_order::{EngineAction, EngineOrder, EngineStatus, OrderAnswer, PlanStep};
+pub use era_watch::{EraFault, EraWatch};
 pub use fleet_config::FleetConfig;
 pub use fleet_messages::{
     AdapterName, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LeaseNews, NewsMarks,
--- a/crates/cowslip-entry/src/operator_view.rs
+++ b/crates/cowslip-entry/src/operator_view.rs
@@ -140,10 +140,22 @@
         outcome
     }
 
+    fn is_older(&self, config: &FleetConfig) -> bool {
+        self.config.as_ref().is_some_and(|known| config.version() < known.version())
+    }
+
+    /// Changes that keep what is evacuated over a full read, until the operator's own word on each domain is read.
+    pub fn kept_evacuations(&self, version: u64) -> Vec<OperatorChange> {
+        let kept =
+            |domain: &DomainId| OperatorChange { version, row: OperatorRow::Evacuated(domain.clone()) };
+        self.evacuated.iter().map(kept).collect()
+    }
+
     fn apply_change(&mut self, change: OperatorChange, outcome: &mut ViewOutcome) {
         self.changed = self.changed.max(change.version);
         match change.row {
-            OperatorRow::Config(config) if change.version > self.config_at => {
+            // A store that has come back from an older copy tells an older configuration until the operator writes again.
+            OperatorRow::Config(config) if change.version > self.config_at && !self.is_older(&config) => {
                 outcome.config = Some(config.version());
                 self.config = Some(Arc::new(config));
                 self.config_at = change.version;
--- a/crates/cowslip-entry/src/upstream_book.rs
+++ b/crates/cowslip-entry/src/upstream_book.rs
@@ -15,6 +15,9 @@
 /// Time in ms for which entries that vanished with the store's trouble stay in use.
 pub const LAPSE_HOLD_MS: u64 = 2_500;
 
+/// Time in ms for which upstreams that have gone are remembered: longer than a copy of the store is old.
+const GONE_MS: u64 = 60_000;
+
 /// Time in ms beyond the expected end of a load from which requests are sent there: one that comes before it is refused.
 const ARRIVAL_MARGIN_MS: u64 = 40;
 
@@ -106,6 +109,8 @@
 pub struct UpstreamBook {
     upstreams: Vec<KnownUpstream>,
     notices: NoticeBook,
+    /// Starts whose entries went lately, and when.
+    gone: Vec<(UpstreamStart, ClockTime)>,
 }
 
 impl UpstreamBook {
@@ -201,7 +206,29 @@
                 known.removed_at = known.removed_at.or(Some(now));
             }
         } else {
-            self.upstreams.remove(at);
+            let entry = self.upstreams.remove(at).entry;
+            self.went(UpstreamStart { id: entry.id, born: entry.born }, now);
+        }
+    }
+
+    fn went(&mut self, start: UpstreamStart, now: ClockTime) {
+        self.gone.retain(|(_, at)| now.since_ms(*at) < GONE_MS);
+        self.gone.push((start, now));
+    }
+
+    /// The store has come back from an older copy, in which upstreams that leave or have gone may be ready: these starts
+    /// stay out of use.
+    pub fn keep_left(&mut self, now: ClockTime) {
+        let leaving = self.upstreams.iter().filter(|known| known.entry.draining);
+        let leaving =
+            leaving.map(|known| UpstreamStart { id: known.entry.id.clone(), born: known.entry.born });
+        let lately = self.gone.iter().filter(|(_, at)| now.since_ms(*at) < GONE_MS);
+        let gone = lately.map(|(start, _)| start.clone());
+        // An entry that lapsed may have come back.
+        let gone = gone.filter(|start| self.start_of(&start.id).as_ref() != Some(start));
+        let left: Vec<UpstreamStart> = leaving.chain(gone).collect();
+        for start in left {
+            self.notices.note(&start, AnswerNotice { leaving: true, away_ms: None }, now);
         }
     }
 
@@ -210,9 +237,11 @@
     pub fn take_news(&mut self, news: UpstreamNews, own_version: u64, now: ClockTime) {
         let UpstreamNews { entries, version, fresh } = news;
         let newer = |known: &KnownUpstream| known.seen_version > version;
+        let mut gone: Vec<UpstreamId> = Vec::new();
         if fresh {
-            let named = |known: &KnownUpstream| entries.iter().any(|(id, _)| *id == known.entry.id);
-            self.upstreams.retain(|known| newer(known) || named(known));
+            let named = |known: &&KnownUpstream| entries.iter().any(|(id, _)| *id == known.entry.id);
+            let unnamed = self.upstreams.iter().filter(|known| !newer(known) && !named(known));
+            gone.extend(unnamed.map(|known| known.entry.id.clone()));
         }
         for (id, entry) in entries {
             match entry {
@@ -221,9 +250,12 @@
                 Some(entry) => {
                     self.put(entry, now);
                 }
-                None => self.upstreams.retain(|known| known.entry.id != id || newer(known)),
+                None => gone.extend(self.get(&id).is_some_and(|known| !newer(known)).then_some(id)),
             }
         }
+        for id in gone {
+            self.remove(&id, false, now);
+        }
     }
 
     /// Upstreams whose entries vanished with the store's trouble, with the time in ms since.
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod config_cases;
 mod delay_cases;
 mod demand_cases;
+mod era_cases;
 mod grant_runs;
 mod handover_cases;
 mod limit_runs;
--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -222,6 +222,11 @@
         self.told_given_up = self.told_given_up.max(Some(epoch));
     }
 
+    /// An epoch was given out, as another one told, or epochs up to it must not be given out.
+    pub fn told_epoch(&mut self, epoch: FenceNumber) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+    }
+
     /// True while this process holds the lease and its last write failed.
     pub fn is_failing(&self) -> bool {
         self.failing && self.role == LeaseRole::Holder
@@ -273,6 +278,8 @@
     fn free_from(&self, seen: &SeenRow) -> ClockTime {
         let epoch = Some(seen.row.epoch);
         match &seen.row.holder {
+            // The row in an older copy of the store says nothing of the last holder.
+            _ if seen.row.epoch < self.highest_epoch => seen.since.plus_ms(self.times.takeover_ms),
             None => seen.since,
             Some(_) if epoch == self.told_given_up => seen.since,
             Some(_) if epoch == self.given_up => seen.since.plus_ms(self.times.takeover_ms),
@@ -360,11 +367,13 @@
             Some(Err(_)) => LeaseRow { holder: Some(unreadable_holder()), ..LeaseRow::default() },
             None => LeaseRow::default(),
         };
-        self.highest_epoch = self.highest_epoch.max(row.epoch);
         let same = self.seen.as_ref().filter(|seen| seen.row_version == row_version);
         let told = self.told.filter(|(version, _)| Some(*version) == row_version).map(|(_, at)| at);
         let since = same.map_or(now, |seen| seen.since).min(told.unwrap_or(now));
-        let own = row.holder.as_ref() == Some(&self.own) && self.given_up != Some(row.epoch);
+        // A row of an earlier epoch than one that is known stands in an older copy of the store.
+        let outdated = row.epoch < self.highest_epoch;
+        self.highest_epoch = self.highest_epoch.max(row.epoch);
+        let own = row.holder.as_ref() == Some(&self.own) && self.given_up != Some(row.epoch) && !outdated;
         if own && self.role == LeaseRole::Candidate {
             self.note_earlier();
         }
--- a/crates/cowslip-fleet/tests/fleet/fake_table.rs
+++ b/crates/cowslip-fleet/tests/fleet/fake_table.rs
@@ -5,7 +5,7 @@
 use cowslip_platform::{RowValue, TableTransaction, TransactionOutcome};
 use serde::de::DeserializeOwned;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct FakeTable {
     rows: BTreeMap<String, (u64, String)>,
     writes: u64,
--- a/crates/cowslip-fleet/tests/fleet/lease_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_cases.rs
@@ -314,3 +314,43 @@
     assert!(lease.is_leader(at(1_000 + LEASE_VALID_MS - 1)));
     assert_eq!(table.parsed::<LeaseRow>(LEASE_KEY).unwrap().members, 5);
 }
+
+/// Guards against a holder of before that finds its row again in an older copy of the store and acts in its old epoch, and
+/// against an epoch that is given out twice, or below one that was given out.
+#[rstest]
+#[case::read_its_successor(true)]
+#[case::told_of_it(false)]
+fn an_older_copy_of_the_row_gives_no_lease(#[case] read: bool) {
+    let (mut earlier, mut later, mut table) = (controller("a"), controller("b"), FakeTable::default());
+    settle(&mut earlier, &mut table, 0);
+    settle(&mut later, &mut table, 10);
+    let copy = table.clone();
+    settle(&mut later, &mut table, 10 + LEASE_TAKEOVER_MS);
+    assert!(later.is_leader(at(10 + LEASE_TAKEOVER_MS)));
+    let returned_ms = 20 + LEASE_TAKEOVER_MS;
+    if read {
+        settle(&mut earlier, &mut table, returned_ms);
+    } else {
+        earlier.told_epoch(FenceNumber::new(2));
+    }
+    let mut table = copy;
+    settle(&mut earlier, &mut table, returned_ms + 1_000);
+    assert!(!earlier.is_leader(at(returned_ms + 1_000)), "its successor may act still");
+    settle(&mut earlier, &mut table, returned_ms + 1_000 + LEASE_TAKEOVER_MS);
+    let row: LeaseRow = table.parsed(LEASE_KEY).unwrap();
+    assert_eq!(row.epoch, FenceNumber::new(3));
+}
+
+/// Guards against a row that is missing in an older copy of the store and is taken at once, while its holder still acts.
+#[test]
+fn a_row_that_went_is_left_alone_for_a_whole_lease() {
+    let (mut holder, mut candidate) = (controller("a"), controller("b"));
+    let (mut table, mut copy) = (FakeTable::default(), FakeTable::default());
+    settle(&mut holder, &mut table, 0);
+    candidate.told_epoch(FenceNumber::new(1));
+    settle(&mut candidate, &mut copy, 100);
+    settle(&mut candidate, &mut copy, LEASE_VALID_MS - 1);
+    assert!(!candidate.is_leader(at(LEASE_VALID_MS - 1)));
+    settle(&mut candidate, &mut copy, 100 + LEASE_TAKEOVER_MS);
+    assert_eq!(copy.parsed::<LeaseRow>(LEASE_KEY).unwrap().epoch, FenceNumber::new(2));
+}
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -48,6 +48,8 @@
     pub repeats: Counter,
     /// Changes of the leader lease at this gateway.
     pub lease_changes: Counter,
+    /// Returns of the store from an older copy, as this gateway heard of them.
+    pub era_changes: Counter,
     /// Log lines left out.
     pub lines_left_out: Counter,
     /// Assertions that failed.
@@ -87,6 +89,7 @@
             resumes: Counter::default(),
             repeats: Counter::default(),
             lease_changes: Counter::default(),
+            era_changes: Counter::default(),
             lines_left_out: Counter::default(),
             violations: Counter::default(),
             waiting: Gauge::default(),
@@ -114,6 +117,11 @@
         registry.register("resumes", "Streams resumed at another upstream", self.resumes.clone());
         registry.register("repeats", "Sends repeated", self.repeats.clone());
         registry.register("lease_changes", "Changes of the leader lease", self.lease_changes.clone());
+        registry.register(
+            "store_era_changes",
+            "Returns of the store from an older copy",
+            self.era_changes.clone(),
+        );
         registry.register("log_lines_left_out", "Log lines left out", self.lines_left_out.clone());
         registry.register("violations", "Assertions that failed", self.violations.clone());
         registry.register("waiting", "Requests that wait for an upstream", self.waiting.clone());
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -7,7 +7,7 @@
 use cowslip_entry::{GrantBook, LeaderHandover, LoadPlanner, ReceivedHandover, heard_ms, rank_of};
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
 use cowslip_platform::{RowValue, TableService};
-use cowslip_units::{ClockTime, FenceNumber};
+use cowslip_units::{ClockTime, FenceNumber, StoreEra};
 use slog::{info, warn};
 
 use crate::gateway_metrics::OutcomeLabels;
@@ -78,6 +78,9 @@
 /// Time in ms on top of the required gap between the orders of two holders.
 const GAP_MARGIN_MS: u64 = 200;
 
+/// Bits of an epoch below the era of the store in which it is given out.
+const ERA_EPOCH_BITS: u32 = 32;
+
 /// Part of the limit's tolerance that a leader grants at once when it does not know what was granted before it.
 const TOLERANCE_PART: f64 = 0.2;
 
@@ -100,6 +103,8 @@
         if lease.is_released() {
             return;
         }
+        lease.told_epoch(FenceNumber::new(gateway.lock().term));
+        lease.told_epoch(first_epoch(gateway.store.era()));
         if let Some(received) = &gateway.lock().received {
             lease.told_given_up(FenceNumber::new(received.told.term));
         }
@@ -141,6 +146,12 @@
     }
 }
 
+/// Epochs of an era of the store begin above all those of the eras before: what was given out last may stand in no row
+/// any more, and no process that knows it may be left.
+const fn first_epoch(era: StoreEra) -> FenceNumber {
+    FenceNumber::new(era.get() << ERA_EPOCH_BITS)
+}
+
 fn log_lease(gateway: &Gateway, lease: &LeaderLease, row: Option<&RowValue>) {
     let now = gateway.now();
     let told = gateway.lock().lease_told.map(|(version, _)| version);
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -279,7 +279,7 @@
     take_members(&mut state, answer.members, answer.fresh);
     state.fleet = Some(answer.fleet as usize);
     if state.lead.is_none() && !answer.deferred {
-        take_news(&mut state, answer.upstreams, answer.fresh, &answer.view, sent_at, now);
+        take_news(gateway, &mut state, answer.upstreams, answer.fresh, &answer.view, sent_at, now);
     }
     for (id, names) in answer.adapters {
         state.book.told_adapters(&id, names.unwrap_or_default());
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -10,7 +10,7 @@
     CopiedRow, OperatorChange, UpstreamEntry, UpstreamNews, ViewCopy, ViewOutcome, ViewStamp, heard_ms,
 };
 use cowslip_platform::PlatformError;
-use cowslip_units::{ClockTime, UpstreamId};
+use cowslip_units::{ClockTime, StoreEra, UpstreamId};
 use slog::{info, warn};
 use tokio::time::timeout;
 
@@ -292,6 +292,11 @@
         // An older read would put old rows among the newer ones that are kept for other gateways.
         return;
     }
+    if StoreEra::of(version) > StoreEra::of(state.view.version()) {
+        info!(gateway.logger, "store_era"; "table" => OPERATOR_TABLE, "era" => StoreEra::of(version).get(),
+            "version" => StoreEra::bare(version), "before" => StoreEra::bare(state.view.version()));
+        changes.splice(0..0, state.view.kept_evacuations(version));
+    }
     keep_rows(&mut state.operator_rows, rows.rows, extent == ReadExtent::Table);
     let outcome = match extent {
         ReadExtent::Table => state.view.replace(changes, version, sent_at),
@@ -338,6 +343,7 @@
     if rows.version < state.upstream_version {
         return;
     }
+    enter_era(gateway, &mut state, rows.version, now);
     state.upstream_version = rows.version;
     if extent == ReadExtent::Part {
         state.upstream_proof.answered(sent_at);
@@ -396,6 +402,17 @@
     gateway.lead_now.notify_one();
 }
 
+/// Takes note that knowledge of upstreams is of a later era of the store from now on.
+fn enter_era(gateway: &Gateway, state: &mut GatewayState, version: u64, now: ClockTime) {
+    if StoreEra::of(version) <= StoreEra::of(state.upstream_version) || !state.upstreams_known {
+        return;
+    }
+    info!(gateway.logger, "store_era"; "table" => UPSTREAM_TABLE, "era" => StoreEra::of(version).get(),
+        "version" => StoreEra::bare(version), "before" => StoreEra::bare(state.upstream_version));
+    gateway.metrics.era_changes.inc();
+    state.book.keep_left(now);
+}
+
 /// Keeps a table's rows as they are in the store, sorted by key.
 fn keep_rows(kept: &mut Vec<StoreRow>, rows: Vec<StoreRow>, full: bool) {
     if full {
@@ -451,7 +468,7 @@
     let upstreams = copy.upstreams.into_iter().map(|entry| (entry.id.clone(), Some(entry))).collect();
     let mut state = gateway.lock();
     if state.lead.is_none() {
-        take_news(&mut state, upstreams, true, &copy.view, asked_at, gateway.now());
+        take_news(gateway, &mut state, upstreams, true, &copy.view, asked_at, gateway.now());
         state.book.take_held(&copy.held, copy.view.upstream_version, gateway.now());
     }
 }
@@ -459,6 +476,7 @@
 /// Takes another gateway's word on upstreams, which it gave with `stamp` when it was asked at `asked_at`; with `fresh`,
 /// those not named are gone.
 pub(crate) fn take_news(
+    gateway: &Gateway,
     state: &mut GatewayState,
     news: Vec<(UpstreamId, Option<UpstreamEntry>)>,
     fresh: bool,
@@ -466,6 +484,7 @@
     asked_at: ClockTime,
     now: ClockTime,
 ) {
+    enter_era(gateway, state, stamp.upstream_version, now);
     let own_version = state.upstream_version;
     let news = UpstreamNews { entries: news, version: stamp.upstream_version, fresh };
     state.book.take_news(news, own_version, now);
--- a/crates/cowslip-platform/src/http_caller.rs
+++ b/crates/cowslip-platform/src/http_caller.rs
@@ -9,7 +9,7 @@
 use crate::call_budget::CallBudget;
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
@@ -116,6 +116,19 @@
         call: CallRequest,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let response = self.call_response(call, timeout_ms).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Makes the call and returns any whole answer.
+    ///
+    /// # Errors
+    /// [`PlatformError`] when there was no whole answer.
+    pub async fn call_response(
+        &self,
+        call: CallRequest,
+        timeout_ms: u64,
+    ) -> Result<Response<Bytes>, PlatformError> {
         let mut budget = CallBudget::new(timeout_ms);
         match self.attempt(&call, &mut budget).await {
             Err(failed) if failed.connection_failed && call.kind == CallKind::Read => {
@@ -129,7 +142,7 @@
         &self,
         call: &CallRequest,
         budget: &mut CallBudget,
-    ) -> Result<(StatusCode, Bytes), FailedAttempt> {
+    ) -> Result<Response<Bytes>, FailedAttempt> {
         let mut request = Request::builder()
             .method(call.method.clone())
             .uri(&call.uri)
@@ -152,9 +165,9 @@
                 return Err(FailedAttempt::new(PlatformError::InDoubt(message)));
             }
         };
-        let status = response.status();
+        let (head, body) = response.into_parts();
         budget.raise(self.rest_ms);
-        let body = Limited::new(response.into_body(), self.max_answer_bytes);
+        let body = Limited::new(body, self.max_answer_bytes);
         let body = match budget.run(body.collect()).await {
             Some(Ok(collected)) => collected.to_bytes(),
             Some(Err(error)) => return Err(FailedAttempt::connection(error.to_string())),
@@ -163,7 +176,7 @@
                 return Err(FailedAttempt::new(PlatformError::Unfinished(message)));
             }
         };
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     }
 }
 
--- a/crates/cowslip-units/src/lib.rs
+++ b/crates/cowslip-units/src/lib.rs
@@ -11,6 +11,7 @@
 mod memory_size;
 mod promise_name;
 mod run_state;
+mod store_era;
 mod text_id;
 mod token_count;
 mod token_rate;
@@ -27,6 +28,7 @@
 pub use memory_size::MemorySize;
 pub use promise_name::PromiseName;
 pub use run_state::RunState;
+pub use store_era::StoreEra;
 pub use text_id::{
     AttemptId, ChangeId, DomainId, IncarnationId, ModelId, OrderId, ReportId, RequestId, RouteId, ServiceId,
     TeamId, UpstreamId, VmId,
