upstreams: what was allowed before a suspension is not written after it

Not traced with logs; this fault is the one that the code allows.

Cause: whether a request or an order may be sent is asked when it is handed to its connection, whose task writes it when it is its turn. A process that is suspended in between writes it by a permission that has run out.

Change: the first bytes of a request have 250 ms from the question on; a connection that is asked to write them later fails, and the send counts as withheld, since nothing was written.

--- /dev/null
+++ b/crates/cowslip-gateway/src/guarded_stream.rs
@@ -0,0 +1,121 @@
+//! A connection to an upstream that begins a request only while this is allowed.
+//!
+//! What allows a send is asked when the request is handed to its connection, which writes it a little later. A process that
+//! is suspended in between would write it by a permission that has run out, so the first bytes have a time of their own.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use cowslip_runtime::ProcessClock;
+use cowslip_units::ClockTime;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Until when the next bytes may be written; no limit once the request has begun.
+const NO_LIMIT: u64 = u64::MAX;
+
+/// The permission to begin a request on a connection.
+#[derive(Debug)]
+pub(crate) struct WriteGuard {
+    clock: ProcessClock,
+    until_ms: AtomicU64,
+    refused: AtomicBool,
+}
+
+impl WriteGuard {
+    /// A guard that allows everything.
+    pub(crate) fn new(clock: ProcessClock) -> Arc<Self> {
+        Arc::new(Self { clock, until_ms: AtomicU64::new(NO_LIMIT), refused: AtomicBool::new(false) })
+    }
+
+    /// Allows the next request to begin until then.
+    pub(crate) fn allow_until(&self, until: ClockTime) {
+        self.until_ms.store(until.millis(), Ordering::Relaxed);
+    }
+
+    /// True when a request was refused, so that none of its bytes were written.
+    pub(crate) fn has_refused(&self) -> bool {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    fn check(&self) -> io::Result<()> {
+        let until_ms = self.until_ms.load(Ordering::Relaxed);
+        if until_ms != NO_LIMIT && self.clock.now().millis() > until_ms {
+            self.refused.store(true, Ordering::Relaxed);
+            return Err(io::Error::other("what allowed the request has run out"));
+        }
+        Ok(())
+    }
+
+    fn begun(&self) {
+        self.until_ms.store(NO_LIMIT, Ordering::Relaxed);
+    }
+}
+
+/// A TCP stream with a guard.
+#[derive(Debug)]
+pub(crate) struct GuardedStream {
+    stream: TcpStream,
+    guard: Arc<WriteGuard>,
+}
+
+impl GuardedStream {
+    /// A stream that begins requests while the guard allows it.
+    pub(crate) const fn new(stream: TcpStream, guard: Arc<WriteGuard>) -> Self {
+        Self { stream, guard }
+    }
+
+    fn written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(result, Poll::Ready(Ok(bytes)) if bytes > 0) {
+            self.guard.begun();
+        }
+        result
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.guard.check()?;
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.written(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.guard.check()?;
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.written(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - the process: [`run_gateway`]
 //! - a request's way: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`, `stream_relay`
-//! - upstreams: `upstream_pool`, `upstream_request`
+//! - upstreams: `upstream_pool`, `guarded_stream`, `upstream_request`
 //! - the store and other gateways: `store_follow`, `leader_exchange`, `leader_duty`
 //! - logs and metrics: `gateway_log`, `gateway_metrics`
 
@@ -13,6 +13,7 @@
 mod gateway_metrics;
 mod gateway_process;
 mod gateway_state;
+mod guarded_stream;
 mod leader_duty;
 mod leader_exchange;
 mod leader_state;
--- a/crates/cowslip-gateway/src/upstream_pool.rs
+++ b/crates/cowslip-gateway/src/upstream_pool.rs
@@ -27,9 +27,15 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::guarded_stream::{GuardedStream, WriteGuard};
+
 /// Time in ms for a connection to be made.
 const CONNECT_MS: u64 = 400;
 
+/// Time in ms in which a request that was allowed must begin to be written: what a busy process takes, and less than a
+/// suspended one.
+const BEGIN_MS: u64 = 250;
+
 /// Time in ms for which an idle connection is reused, unless the upstream keeps it for a shorter time.
 const IDLE_MS: u64 = 2_500;
 
@@ -84,6 +90,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: ConnectionTask,
+    guard: Arc<WriteGuard>,
     /// Ids of the attempts that were refused on it.
     refused: Vec<HeaderValue>,
 }
@@ -132,7 +139,7 @@
         let mut request = request;
         let attempt = request.headers().get(ATTEMPT_ID).cloned();
         if let Some(mut connection) = self.take_idle(address, attempt.as_ref()) {
-            if !may_send() {
+            if !self.allows(&connection, &may_send) {
                 return Err(SendFault::Withheld);
             }
             connection.bound_interim(&mut request);
@@ -141,17 +148,19 @@
                 Err(mut error) => match error.take_message() {
                     // The idle connection was closed before the request was written.
                     Some(unsent) => request = unsent,
+                    None if connection.guard.has_refused() => return Err(SendFault::Withheld),
                     None => return Err(SendFault::Broken(error.into_error().to_string())),
                 },
             }
         }
         let mut connection = self.connect(address).await?;
-        if !may_send() {
+        if !self.allows(&connection, &may_send) {
             return Err(SendFault::Withheld);
         }
         connection.bound_interim(&mut request);
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
+            Err(_) if connection.guard.has_refused() => Err(SendFault::Withheld),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let message = error.into_error().to_string();
@@ -160,6 +169,12 @@
         }
     }
 
+    /// True when a request may be sent; its first bytes must then be written soon.
+    fn allows(&self, connection: &UpstreamConnection, may_send: &impl Fn() -> bool) -> bool {
+        connection.guard.allow_until(self.clock.now().plus_ms(BEGIN_MS));
+        may_send()
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<UpstreamConnection, SendFault> {
         let stream = match timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
@@ -167,6 +182,8 @@
             Err(_) => return Err(SendFault::NotSent("no connection in time".to_owned())),
         };
         stream.set_nodelay(true).map_err(|error| SendFault::NotSent(error.to_string()))?;
+        let guard = WriteGuard::new(self.clock);
+        let stream = GuardedStream::new(stream, Arc::clone(&guard));
         let made = http1::Builder::new().max_buf_size(READ_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = made.map_err(|error| SendFault::NotSent(error.to_string()))?;
         let task = tokio::spawn(async move {
@@ -174,7 +191,7 @@
             drop(connection.await);
         });
         let task = ConnectionTask(task.abort_handle());
-        Ok(UpstreamConnection { address, sender, task, refused: Vec::new() })
+        Ok(UpstreamConnection { address, sender, task, guard, refused: Vec::new() })
     }
 
     /// Keeps a connection whose answer was read to its end. `keep_alive_s` is the time for which the upstream keeps it.
--- a/crates/cowslip-gateway/tests/upstream_pool.rs
+++ b/crates/cowslip-gateway/tests/upstream_pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cowslip_adapter::header_names::ATTEMPT_ID;
@@ -11,6 +12,7 @@
 use http::{HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
 use rstest::rstest;
+use tokio::time::sleep;
 
 fn request(id: &str) -> Request<Full<Bytes>> {
     Request::get("/lookup/1")
@@ -71,3 +73,27 @@
     answered(&pool, upstream.address, "id-2").await;
     assert_eq!(upstream.connections(), connections, "the connection was not used again");
 }
+
+/// Guards against a process that is suspended between the check and the write, and sends by a permission that has run out
+/// meanwhile: an order of a leader that was frozen reached an engine after its successor's.
+#[rstest]
+#[case::new_connection(false)]
+#[case::idle_connection(true)]
+#[tokio::test]
+async fn a_request_is_not_written_long_after_it_was_allowed(#[case] idle: bool) {
+    let upstream = RawUpstream::start("u", "", RawConduct::Sound).await.expect("upstream");
+    let pool = UpstreamPool::new(ProcessClock::new());
+    if idle {
+        answered(&pool, upstream.address, "before").await;
+    }
+    let before = upstream.seen();
+    let allowed_and_suspended = || {
+        std::thread::sleep(Duration::from_millis(600));
+        true
+    };
+    let outcome = pool.send(upstream.address, request("id-1"), allowed_and_suspended).await;
+    assert!(matches!(outcome, Err(SendFault::Withheld)), "{outcome:?}");
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(upstream.seen(), before);
+    answered(&pool, upstream.address, "after").await;
+}
