--- a/crates/cowslip-capacity/src/message_counts.rs
+++ b/crates/cowslip-capacity/src/message_counts.rs
@@ -26,7 +26,7 @@
         epoch: FenceNumber::new(7),
         renewals: 100_000,
         members: 0,
-        earlier_ms: 0,
+        orders_in_ms: 0,
     };
     let claim = ClaimRow {
         attempt: attempt.clone(),
--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -143,7 +143,7 @@
     pub model: ModelId,
     /// Time in ms until it can serve.
     pub wait_ms: u64,
-    /// True when the load has begun, so that the time is known and not only expected.
+    /// True when the load has begun and its end is known, not only expected.
     pub begun: bool,
 }
 
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod route_rule;
 mod service_rule;
 mod store_slots;
+mod store_speed;
 mod store_trouble;
 mod team_rule;
 mod token_purse;
@@ -74,6 +75,7 @@
 pub use request_need::{ModelNeed, RequestNeed};
 pub use route_rule::{RouteKind, RouteRule, RouteTarget};
 pub use service_rule::{EngineRule, ModelRule, ServiceRule};
+pub use store_speed::StoreSpeed;
 pub use store_trouble::StoreTrouble;
 pub use team_rule::TeamRule;
 pub use token_purse::{GRANT_MS, PurseStep, TokenNeed, TokenPurse};
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -90,6 +90,12 @@
         self.demand.take_rates(rates, now);
     }
 
+    /// Time in ms until orders to all engines may be sent.
+    pub fn orders_in_ms(&self, now: ClockTime) -> u64 {
+        let held = self.held_back.iter().map(|(_, from)| *from);
+        held.fold(self.orders_from, ClockTime::max).since_ms(now)
+    }
+
     /// Engines that were sent an order in the last `gap_ms`.
     pub fn recent_orders(&self, gap_ms: u64, now: ClockTime) -> Vec<OrderAge> {
         let age = |engine: &PlannedEngine| {
@@ -160,7 +166,8 @@
         }
         match &order.action {
             EngineAction::Load(_) | EngineAction::Unload(_) => {
-                model_answered(engine, order, answer, rule, now);
+                let store_ms = |alone_ms: u64| self.slots.expected_ms(alone_ms);
+                model_answered(engine, order, answer, rule, store_ms, now);
             }
             EngineAction::LoadAdapter(..) | EngineAction::UnloadAdapter(..) => {
                 crate::adapter_plan::adapter_answered(engine, order, answer, now);
@@ -173,6 +180,7 @@
         self.demand.refresh(now);
         let mut steps = Vec::new();
         self.ask(now, &mut steps);
+        self.follow_store(services, now);
         if now < self.orders_from {
             return steps;
         }
@@ -206,6 +214,27 @@
         }
     }
 
+    /// Learns how long loads from the weight store take.
+    fn follow_store(&mut self, services: &[ServiceRule], now: ClockTime) {
+        let loads = |engine: &&PlannedEngine| {
+            let task = engine.task.as_ref().filter(|task| task.tier == WeightTier::Store);
+            task.is_some_and(|task| matches!(task.stage, TaskStage::Loading(_)))
+        };
+        let ended = |upstream: &UpstreamId, model: &ModelId| {
+            let engine = self.engines.iter().find(|engine| engine.entry.id == *upstream)?;
+            let service = services.iter().find(|service| service.name == engine.entry.service)?;
+            let rule = service.engine.as_ref()?.model(model)?;
+            engine.entry.holds(model).then_some(rule.store_ms)
+        };
+        let loading: Vec<(&UpstreamId, &ModelId)> = self
+            .engines
+            .iter()
+            .filter(loads)
+            .filter_map(|engine| Some((&engine.entry.id, &engine.task.as_ref()?.model)))
+            .collect();
+        self.slots.speed().follow(&loading, ended, now);
+    }
+
     /// Models being loaded from the weight store.
     fn store_loads(&self) -> usize {
         let from_store =
--- a/crates/cowslip-entry/src/load_planner/plan_news.rs
+++ b/crates/cowslip-entry/src/load_planner/plan_news.rs
@@ -7,7 +7,7 @@
 use super::LoadPlanner;
 use crate::adapter_plan::has_arrived;
 use crate::planned_engine::{TaskStage, load_ms};
-use crate::{ArrivalLine, PlaceLine, PlannedEngine, ServiceRule};
+use crate::{ArrivalLine, PlaceLine, PlannedEngine, ServiceRule, WeightTier};
 
 /// An engine counts as loaded from this part of its slots on.
 const LOADED_PART: u32 = 4;
@@ -28,7 +28,8 @@
                 continue;
             };
             let (wait_ms, begun) = match task.stage {
-                TaskStage::Loading(until) => (until.since_ms(now), true),
+                // How long the weight store takes depends on what else it serves.
+                TaskStage::Loading(until) => (until.since_ms(now), task.tier != WeightTier::Store),
                 TaskStage::Send(_) | TaskStage::Sent(_) => (load_ms(model, task.tier), false),
             };
             let upstream = engine.entry.id.clone();
--- a/crates/cowslip-entry/src/model_answer.rs
+++ b/crates/cowslip-entry/src/model_answer.rs
@@ -3,7 +3,7 @@
 use cowslip_units::ClockTime;
 
 use crate::planned_engine::{EngineTask, MAX_CONFLICTS, TaskStage, load_ms};
-use crate::{EngineAction, EngineOrder, EngineRule, HeldModel, OrderAnswer, PlannedEngine};
+use crate::{EngineAction, EngineOrder, EngineRule, HeldModel, OrderAnswer, PlannedEngine, WeightTier};
 
 /// First and longest pause in ms before an order is repeated after a conflict.
 const CONFLICT_MS: (u64, u64) = (25, 300);
@@ -24,12 +24,14 @@
     }
 }
 
-/// Takes the answer to an order about a model.
+/// Takes the answer to an order about a model. `store_ms` tells what a load from the weight store takes beside others, of
+/// the time that it takes alone.
 pub(crate) fn model_answered(
     engine: &mut PlannedEngine,
     order: &EngineOrder,
     answer: OrderAnswer,
     rule: &EngineRule,
+    store_ms: impl Fn(u64) -> u64,
     now: ClockTime,
 ) {
     let sent = matches!(&engine.task, Some(EngineTask { stage: TaskStage::Sent(action), .. }) if *action == order.action);
@@ -62,7 +64,8 @@
                     engine.ask_at = Some(now);
                 }
                 _ => {
-                    let time = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
+                    let alone_ms = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
+                    let time = if task.tier == WeightTier::Store { store_ms(alone_ms) } else { alone_ms };
                     task.stage = TaskStage::Loading(now.plus_ms(time));
                 }
             }
--- a/crates/cowslip-entry/src/store_slots.rs
+++ b/crates/cowslip-entry/src/store_slots.rs
@@ -5,7 +5,7 @@
 
 use cowslip_units::ClockTime;
 
-use crate::{LoadBudget, StoreLimit};
+use crate::{LoadBudget, StoreLimit, StoreSpeed};
 
 /// Loads from the weight store that run ahead of demand at most, as a part of those at full speed.
 const AHEAD_PART: f64 = 0.75;
@@ -34,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StoreSlots {
     limit: StoreLimit,
+    /// How many loads run at full speed, as far as was learnt.
+    speed: StoreSpeed,
     budget: LoadBudget,
     /// When a hot model last wanted one.
     hot_at: Option<ClockTime>,
@@ -42,7 +44,17 @@
 impl StoreSlots {
     /// Places within a limit, none of them taken.
     pub(crate) fn new(limit: StoreLimit, now: ClockTime) -> Self {
-        Self { limit, budget: LoadBudget::new(now), hot_at: None }
+        Self { limit, speed: StoreSpeed::new(limit.at_once, now), budget: LoadBudget::new(now), hot_at: None }
+    }
+
+    /// What loads have taken.
+    pub(crate) fn speed(&mut self) -> &mut StoreSpeed {
+        &mut self.speed
+    }
+
+    /// Time in ms that a load should take which begins now and takes `alone_ms` at full speed.
+    pub(crate) fn expected_ms(&self, alone_ms: u64) -> u64 {
+        self.speed.expected_ms(alone_ms)
     }
 
     /// Lets time pass at a rate of `per_s` loads.
@@ -67,7 +79,7 @@
 
     /// Loads that may run when one more begins for that cause.
     fn most(&self, cause: LoadCause, now: ClockTime) -> usize {
-        let at_once = self.limit.at_once;
+        let at_once = self.speed.at_once();
         let contended = self.hot_at.is_some_and(|at| now.since_ms(at) < CONTENDED_MS);
         match cause {
             LoadCause::Hot => at_once * HOT_FACTOR,
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod planner_runs;
 mod proof_cases;
 mod rare_runs;
+mod speed_runs;
 mod view_cases;
 mod view_runs;
 mod wait_cases;
--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -64,8 +64,12 @@
     /// When the row of the holder before was first seen, which is later than its last renewal, and whether it said that
     /// the lease was given up.
     earlier: Option<(ClockTime, bool)>,
-    /// Time in ms for which an earlier process of this VM held the lease at least that this one took over.
-    own_held_ms: Option<u64>,
+    /// The time to wait with orders that the row told of the earlier process of this VM that this one replaced.
+    own_wait_ms: Option<u64>,
+    /// The time to wait with orders after a takeover from another VM.
+    longest_wait_ms: u64,
+    /// The time to wait with orders, to write with the next renewal.
+    orders_in_ms: u64,
     /// The own epoch that this process has given up without the store.
     given_up: Option<FenceNumber>,
     /// An epoch that its holder said it has given up.
@@ -93,7 +97,9 @@
             highest_epoch: FenceNumber::ZERO,
             told: None,
             earlier: None,
-            own_held_ms: None,
+            own_wait_ms: None,
+            longest_wait_ms: 0,
+            orders_in_ms: 0,
             given_up: None,
             told_given_up: None,
             failing: false,
@@ -118,6 +124,19 @@
         self
     }
 
+    /// Sets how long orders wait at most after a takeover from another VM, which the row then tells.
+    #[must_use]
+    pub fn with_longest_wait(mut self, millis: u64) -> Self {
+        self.longest_wait_ms = millis;
+        self
+    }
+
+    /// Sets the time in ms that orders must wait because of another VM's, which the next renewal writes: the next process
+    /// of this VM need not wait for longer.
+    pub fn set_orders_in(&mut self, millis: u64) {
+        self.orders_in_ms = millis;
+    }
+
     /// Changes the times; see [`with_times`](Self::with_times).
     pub fn set_times(&mut self, times: LeaseTimes) {
         self.times = times;
@@ -157,10 +176,10 @@
         Some(if gave_up { since } else { since.plus_ms(acts_ms) })
     }
 
-    /// Time in ms for which the earlier process of this VM held the lease at least that this one took over; `None` when
-    /// another VM held it before. No other VM has acted for so long.
-    pub fn own_held_ms(&self) -> Option<u64> {
-        self.own_held_ms
+    /// The time in ms, or more than it, that orders of this process must wait because of another VM's, when it took the
+    /// lease over from an earlier process of its own VM; `None` when another VM held it before.
+    pub fn own_wait_ms(&self) -> Option<u64> {
+        self.own_wait_ms
     }
 
     /// The epoch in which this process may act as leader now; `None` when it must not act.
@@ -288,11 +307,9 @@
             (&sent.row.holder, sent.row.epoch, sent.row.renewals) == (&holder, epoch, renewals)
         };
         // A repeated write is the same in all, so that either of the two may have taken effect.
-        let repeated = self.sent.as_ref().filter(again).map(|sent| sent.row.members);
-        let members = repeated.unwrap_or(if takes { seen.row.members } else { self.members });
-        let earlier_ms =
-            if takes { self.held_by_own_ms(seen).unwrap_or_default() } else { seen.row.earlier_ms };
-        let row = LeaseRow { holder, epoch, renewals, members, earlier_ms };
+        let repeated = self.sent.as_ref().filter(again).map(|sent| (sent.row.members, sent.row.orders_in_ms));
+        let (members, orders_in_ms) = repeated.unwrap_or_else(|| self.told_with(seen, takes));
+        let row = LeaseRow { holder, epoch, renewals, members, orders_in_ms };
         let Ok(value) = serde_json::to_string(&row) else {
             return LeaseStep::Idle(self.next_at);
         };
@@ -311,6 +328,15 @@
         LeaseStep::Commit(transaction.with_absent(&mark).with_put(&mark, self.own.incarnation.to_string()))
     }
 
+    /// Members and time to wait with orders that a write tells. A takeover leaves the members as they were.
+    fn told_with(&self, seen: &SeenRow, takes: bool) -> (u32, u64) {
+        if takes {
+            (seen.row.members, self.own_row_wait_ms(seen).unwrap_or(self.longest_wait_ms))
+        } else {
+            (self.members, self.orders_in_ms)
+        }
+    }
+
     /// The result of [`LeaseStep::Read`].
     pub fn read_answered(&mut self, result: &Result<Option<RowValue>, PlatformError>, now: ClockTime) {
         match result {
@@ -389,16 +415,16 @@
         let Some(before) = &self.seen else { return };
         let gave_up = before.row.holder.is_none() || self.told_given_up == Some(before.row.epoch);
         let earlier = (before.since, gave_up);
-        let held_ms = self.held_by_own_ms(before);
+        let wait_ms = self.own_row_wait_ms(before);
         self.earlier = Some(earlier);
-        self.own_held_ms = held_ms;
+        self.own_wait_ms = wait_ms;
+        self.orders_in_ms = wait_ms.unwrap_or(self.longest_wait_ms);
     }
 
-    /// Time in ms for which earlier processes of this VM have held the lease of a row at least; `None` when another VM
-    /// holds it.
-    fn held_by_own_ms(&self, seen: &SeenRow) -> Option<u64> {
+    /// The time to wait with orders that a row tells whose holder an earlier process of this VM is.
+    fn own_row_wait_ms(&self, seen: &SeenRow) -> Option<u64> {
         let own = self.replaces_own && seen.row.is_held_by(&self.own.vm);
-        own.then(|| seen.row.earlier_ms + seen.row.renewals * self.times.renew_ms)
+        own.then_some(seen.row.orders_in_ms)
     }
 
     fn candidate_at(&self, now: ClockTime) -> ClockTime {
--- a/crates/cowslip-fleet/src/lease_row.rs
+++ b/crates/cowslip-fleet/src/lease_row.rs
@@ -16,7 +16,7 @@
     *members == 0
 }
 
-fn is_none_held(millis: &u64) -> bool {
+fn is_no_time(millis: &u64) -> bool {
     *millis == 0
 }
 
@@ -32,10 +32,10 @@
     /// Members of the fleet that the holder knows; zero when it does not say.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub members: u32,
-    /// Time in ms for which earlier processes of the holder's VM held the lease at least, one after the other up to this
-    /// one; zero when another VM held it before.
-    #[serde(default, skip_serializing_if = "is_none_held")]
-    pub earlier_ms: u64,
+    /// Time in ms after which another VM's orders no longer keep the holder's VM from sending its own, as of the write; zero
+    /// when they do not.
+    #[serde(default, skip_serializing_if = "is_no_time")]
+    pub orders_in_ms: u64,
 }
 
 impl LeaseRow {
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -17,7 +17,7 @@
 use crate::caller_server::{listen, serve_callers, serve_status};
 use crate::gateway_state::Gateway;
 use crate::leader_duty::lease_loop;
-use crate::leader_exchange::{PeerServer, report_loop};
+use crate::leader_exchange::{PeerServer, handover_loop, report_loop};
 use crate::plan_duty::plan_loop;
 use crate::store_follow::{FollowedTable, follow_table};
 
@@ -81,6 +81,7 @@
     tokio::spawn(serve_status(Arc::clone(gateway), readiness));
     tokio::spawn(serve_status(Arc::clone(gateway), metrics));
     tokio::spawn(report_loop(Arc::clone(gateway)));
+    tokio::spawn(handover_loop(Arc::clone(gateway)));
     tokio::spawn(plan_loop(Arc::clone(gateway)));
     tokio::spawn(upkeep(Arc::clone(gateway), left_out));
     let lease = tokio::spawn(lease_loop(Arc::clone(gateway), own));
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -105,6 +105,8 @@
     pub behind: bool,
     /// When a store call last failed.
     pub store_failed_at: Option<ClockTime>,
+    /// Send time of the last call that the store answered to this gateway's followers of its tables.
+    pub store_answered_at: Option<ClockTime>,
     /// Whether calls failed for long.
     pub store_trouble: StoreTrouble,
     /// Names of all gateways, sorted.
@@ -115,6 +117,8 @@
     pub peers: Vec<SocketAddr>,
     /// The leader, as far as is known.
     pub leader: Option<SocketAddr>,
+    /// The last leader beside this gateway.
+    pub last_leader: Option<SocketAddr>,
     /// When a leader last answered: the send time of the report.
     pub leader_heard_at: Option<ClockTime>,
     /// When the leader that was heard last said that it leads no longer.
@@ -179,6 +183,8 @@
     pub follow_now: Notify,
     /// Wakes the leader's duties.
     pub lead_now: Notify,
+    /// Wakes the question of a new leader to the one before it.
+    pub ask_handover: Notify,
     /// True when connections of callers are to be closed.
     pub closing: watch::Sender<bool>,
     /// The lease as it was last looked at; its holder checks it at the moment of each order.
@@ -202,6 +208,7 @@
             report_now: Notify::new(),
             follow_now: Notify::new(),
             lead_now: Notify::new(),
+            ask_handover: Notify::new(),
             closing: watch::Sender::new(false),
             lease: Mutex::new(None),
             state: Mutex::new(GatewayState::new()),
@@ -244,11 +251,13 @@
             upstream_proof: UpstreamProof::default(),
             behind: false,
             store_failed_at: None,
+            store_answered_at: None,
             store_trouble: StoreTrouble::default(),
             members: Vec::new(),
             fleet: None,
             peers: Vec::new(),
             leader: None,
+            last_leader: None,
             leader_heard_at: None,
             leader_lost_at: None,
             lease_told: None,
--- a/crates/cowslip-gateway/src/leader_duty.rs
+++ b/crates/cowslip-gateway/src/leader_duty.rs
@@ -46,6 +46,9 @@
 /// Time in ms that each candidate leaves to those before it in the order of a hash to find out whether the store answers.
 const PROBE_RANK_MS: u64 = 120;
 
+/// Longest such time in ms.
+const MAX_PROBE_RANK_MS: u64 = 480;
+
 /// Pause in ms between two such calls of a gateway.
 const PROBE_PAUSE_MS: u64 = 500;
 
@@ -83,7 +86,9 @@
 
 /// Keeps the lease until it is released at a planned stop.
 pub(crate) async fn lease_loop(gateway: Arc<Gateway>, own: LeaseHolder) {
-    let mut lease = LeaderLease::new(own).with_times(LEASE_TIMES).with_replaced_predecessor();
+    let longest_wait_ms = ORDERS_MS + order_gap_ms(&gateway.settings);
+    let lease = LeaderLease::new(own).with_times(LEASE_TIMES).with_replaced_predecessor();
+    let mut lease = lease.with_longest_wait(longest_wait_ms);
     if gateway.settings.weak {
         gateway.clock.sleep_ms(WEAK_START_MS).await;
     }
@@ -120,6 +125,7 @@
         }
         if let Some(lead) = gateway.lock().lead.as_ref() {
             lease.set_members(lead.grants.fleet(now) as u32);
+            lease.set_orders_in(lead.planner.orders_in_ms(now));
         }
         match lease.next(now) {
             LeaseStep::Idle(until) => {
@@ -167,7 +173,7 @@
         return false;
     }
     let rank = rank_of(state.term, &gateway.settings.name, &state.members) as u64;
-    let wait_ms = OVERDUE_MS + (rank * PROBE_RANK_MS).min(LEASE_MS);
+    let wait_ms = OVERDUE_MS + (rank * PROBE_RANK_MS).min(MAX_PROBE_RANK_MS);
     let overdue = state.lease_told.is_some_and(|(_, renewed_at)| now.since_ms(renewed_at) >= wait_ms);
     let heard = state.leader_heard_at.is_some_and(|at| now.since_ms(at) < heard_ms(state.members.len()));
     overdue && heard && state.probed_at.is_none_or(|at| now.since_ms(at) >= PROBE_PAUSE_MS)
@@ -188,7 +194,12 @@
 pub(crate) fn resign_if_cut_off(gateway: &Gateway, state: &mut GatewayState, now: ClockTime) {
     let mut shared = gateway.lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let renewed_at = shared.as_ref().filter(|lease| lease.is_failing()).and_then(|lease| lease.renewal(now));
-    let overdue = renewed_at.is_some_and(|(_, renewed_at)| now.since_ms(renewed_at) >= RESIGN_MS);
+    // A store that is slow for all still answers some calls.
+    let answered = state.store_answered_at;
+    let overdue = renewed_at.is_some_and(|(_, renewed_at)| {
+        now.since_ms(renewed_at) >= RESIGN_MS
+            && answered.is_none_or(|at| at <= renewed_at.plus_ms(RENEW_MS / 2))
+    });
     let Some(mut lead) = state.lead.take_if(|_| overdue) else { return };
     *shared = None;
     drop(shared);
@@ -232,6 +243,9 @@
     let address: Option<SocketAddr> = lease.holder().and_then(|holder| holder.vm.as_str().parse().ok());
     if let Some(address) = address {
         let mut state = gateway.lock();
+        if address != gateway.settings.peers {
+            state.last_leader = Some(address);
+        }
         if state.leader != Some(address) {
             state.leader = Some(address);
             drop(state);
@@ -260,14 +274,13 @@
 }
 
 /// When this gateway may send orders as a new leader. An engine must not get orders of two VMs within the required gap; a
-/// VM that restarts and has led long enough before is the only one that has sent any.
+/// VM that restarts goes on from where its last process was.
 fn orders_from(settings: &NodeSettings, lease: &LeaderLease, now: ClockTime) -> ClockTime {
-    let gap_ms = order_gap_ms(settings);
-    let alone = lease.own_held_ms().is_some_and(|held_ms| held_ms >= ORDERS_MS + gap_ms);
-    match lease.earlier_until(ORDERS_MS, now) {
-        Some(until) if !alone => until.plus_ms(gap_ms).max(now),
-        _ => now,
+    if let Some(wait_ms) = lease.own_wait_ms() {
+        return now.plus_ms(wait_ms);
     }
+    let until = lease.earlier_until(ORDERS_MS, now);
+    until.map_or(now, |until| until.plus_ms(order_gap_ms(settings)).max(now))
 }
 
 /// Begins or ends the duties as the lease says.
@@ -295,6 +308,9 @@
                 "orders_in_ms" => if informed { 0 } else { orders_from.since_ms(now) });
             gateway.report_now.notify_one();
             gateway.follow_now.notify_waiters();
+            if !informed {
+                gateway.ask_handover.notify_one();
+            }
         }
         (None, Some(lead)) => {
             let fence = lead.fence;
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -145,6 +145,24 @@
     }
 }
 
+/// Asks the last leader for what it hands over, whenever this gateway begins to lead without that.
+pub(crate) async fn handover_loop(gateway: Arc<Gateway>) {
+    let mut clients = PeerClients::default();
+    loop {
+        gateway.ask_handover.notified().await;
+        let last = gateway.lock().last_leader;
+        let Some(client) = last.and_then(|last| clients.get(&gateway, last)) else { continue };
+        let name = gateway.settings.name.clone();
+        let report = GatewayReport { gateway: name, may_lead: true, ..GatewayReport::default() };
+        // One that does not answer is gone, or tells nothing that counts any more.
+        if let Ok(answer) = client.gateway_report(report).await
+            && let Some(handover) = answer.handover
+        {
+            take_handover(&gateway, handover, gateway.now());
+        }
+    }
+}
+
 /// Reports to the leader for as long as the process runs.
 pub(crate) async fn report_loop(gateway: Arc<Gateway>) {
     let mut clients = PeerClients::default();
--- a/crates/cowslip-gateway/src/store_follow.rs
+++ b/crates/cowslip-gateway/src/store_follow.rs
@@ -153,7 +153,7 @@
         };
         match result {
             Ok(next) => {
-                gateway.lock().store_trouble.answered(sent_at);
+                follow_answered(&gateway, sent_at);
                 if lost {
                     info!(gateway.logger, "store_regained"; "table" => table.name(), "version" => next);
                     lost = false;
@@ -175,6 +175,12 @@
     }
 }
 
+fn follow_answered(gateway: &Gateway, sent_at: ClockTime) {
+    let mut state = gateway.lock();
+    state.store_trouble.answered(sent_at);
+    state.store_answered_at = state.store_answered_at.max(Some(sent_at));
+}
+
 fn follow_failed(gateway: &Gateway, table: FollowedTable, sent_at: ClockTime) {
     let mut state = gateway.lock();
     state.store_failed(sent_at, gateway.now());
