gateway: say why a stream was cut

What callers saw: a stream that ends without its last event. Change: a typed cause in the line and in the counter stream_cuts; the lines stream_broken and stream_cut also have the time left and the version of the configuration, at arrival and now. What is decided stays.

--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -26,6 +26,13 @@
     pub kind: &'static str,
 }
 
+/// Why a stream was cut.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CutLabels {
+    /// Cause as in the log line `stream_cut`.
+    pub cause: &'static str,
+}
+
 /// All metrics of a gateway. Label values come from fixed sets, so the number of series is bounded.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -44,6 +51,8 @@
     pub reports: Family<OutcomeLabels, Counter>,
     /// Streams resumed at another upstream.
     pub resumes: Counter,
+    /// Streams whose callers got no proper end, by cause.
+    pub stream_cuts: Family<CutLabels, Counter>,
     /// Retried sends.
     pub retries: Counter,
     /// Number of times that this gateway started or stopped leading.
@@ -87,6 +96,7 @@
             orders: Family::default(),
             reports: Family::default(),
             resumes: Counter::default(),
+            stream_cuts: Family::default(),
             retries: Counter::default(),
             lease_changes: Counter::default(),
             era_changes: Counter::default(),
@@ -115,6 +125,7 @@
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("reports", "Reports to the leader", self.reports.clone());
         registry.register("resumes", "Streams resumed at another upstream", self.resumes.clone());
+        registry.register("stream_cuts", "Streams cut, by cause", self.stream_cuts.clone());
         registry.register("repeats", "Sends repeated", self.retries.clone());
         registry.register("lease_changes", "Changes of the leader lease", self.lease_changes.clone());
         registry.register(
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -293,6 +293,11 @@
         }
     }
 
+    /// Version of the configuration in force; `None` before the first one.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        self.view.config().map(|config| config.version())
+    }
+
     /// True when the store recently answered this gateway while the leader's renewal was overdue.
     pub(crate) fn can_reach_store(&self, now: ClockTime) -> bool {
         self.store_reached_at.is_some_and(|at| now.since_ms(at) < STORE_REACHABLE_MS)
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! - process start and shutdown: [`run_gateway`]
 //! - shared state: `gateway_state`, `standalone_share`
 //! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`,
-//!   `stream_relay`
+//!   `stream_relay`, `cut_cause`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
 //! - store and other gateways: `store_watch`, `leader_exchange`, `report_builder`
@@ -12,6 +12,7 @@
 //! - logs and metrics: `gateway_log`, `gateway_metrics`
 
 mod caller_server;
+mod cut_cause;
 mod dispatch;
 mod gateway_log;
 mod gateway_metrics;
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -58,7 +58,7 @@
                 let now = gateway.now();
                 let (age_ms, version) = {
                     let state = gateway.lock();
-                    (state.view.age_ms(now), state.view.config().map(|config| config.version()))
+                    (state.view.age_ms(now), state.config_version())
                 };
                 info!(gateway.logger, "request_refused"; "request" => %attempt, "outcome" => outcome,
                     "retry_after_ms" => rejection.retry_after_ms, "held_ms" => now.since_ms(arrived_at),
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cowslip_adapter::event_id;
-use cowslip_units::{ErrorKind, UpstreamId};
+use cowslip_units::{ClockTime, ErrorKind, UpstreamId};
 use http::StatusCode;
 use http::header::HeaderMap;
 use http_body_util::BodyExt;
@@ -17,13 +17,16 @@
 use tokio::sync::mpsc::{self, Sender};
 use tokio::time::timeout;
 
+use crate::cut_cause::CutCause;
 use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, choose_upstream, has_alternative, may_retry};
+use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
     HeadCheck, caller_response, check_and_record_head, fault_outcome, read_full_body, record_response,
     return_connection, return_refused_connection, send_target, wait_or_abandon,
 };
 use crate::request_context::{AdmittedRequest, RequestContext, admit, may_send};
+use crate::request_rejection::RequestRejection;
 use crate::response_body::{ResponseAborted, ResponseBody};
 use crate::upstream_pool::UpstreamConnection;
 use crate::upstream_request::upstream_request;
@@ -288,7 +291,7 @@
             events = loop {
                 if self.is_past_deadline() {
                     // Without this check, an upstream whose events are always ready could stream without end.
-                    self.abort("over").await;
+                    self.abort(CutCause::Deadline, &source.upstream).await;
                     return;
                 }
                 let mut next = source.next(self.wait_ms()).await;
@@ -301,22 +304,31 @@
                         self.finish(source);
                         return;
                     }
-                    NextEvents::Broken(why) => match self.resume(source, why).await {
-                        Some(next) => source = next,
-                        None => {
-                            self.abort("not resumed").await;
-                            return;
+                    NextEvents::Broken(why) => {
+                        let broken = source.upstream.clone();
+                        match self.resume(source, why).await {
+                            Ok(next) => source = next,
+                            Err(cause) => {
+                                self.abort(cause, &broken).await;
+                                return;
+                            }
                         }
-                    },
+                    }
                 }
             };
         }
     }
 
     /// Aborts the response, so that the caller can tell that it is incomplete.
-    async fn abort(&self, why: &'static str) {
+    async fn abort(&self, cause: CutCause, upstream: &UpstreamId) {
+        self.gateway.metrics.stream_cuts.get_or_create(&CutLabels { cause: cause.as_str() }).inc();
         if self.gateway.may_log() {
-            warn!(self.gateway.logger, "stream_cut"; "request" => %self.context.caller.attempt, "why" => why);
+            let now = self.gateway.now();
+            warn!(self.gateway.logger, "stream_cut"; "request" => %self.context.caller.attempt, "why" => %cause,
+                "upstream" => %upstream, "runs" => self.progress.runs, "refused" => self.progress.refused,
+                "unreached" => self.progress.unreached, "after_ms" => now.since_ms(self.context.arrived_at),
+                "left_ms" => self.remaining_ms(), "config_at_arrival" => self.admitted.config.version(),
+                "config" => self.gateway.lock().config_version());
         }
         // The caller may have disconnected already.
         drop(self.sender.send(Err(ResponseAborted)).await);
@@ -356,7 +368,7 @@
     }
 
     /// Resumes the stream at another upstream from the last event.
-    async fn resume(&mut self, source: EventSource, why: &'static str) -> Option<EventSource> {
+    async fn resume(&mut self, source: EventSource, why: &'static str) -> Result<EventSource, CutCause> {
         let gateway = Arc::clone(&self.gateway);
         let now = gateway.now();
         let upstream = source.upstream.clone();
@@ -366,27 +378,28 @@
             known.record_failure(now);
         }
         self.progress.tried.push(upstream.clone());
-        let resumes =
-            self.progress.last_event.is_some() && may_retry(&gateway, &self.admitted, &self.progress, now);
+        let obstacle = self.take_resume(now).err();
         if gateway.may_log() {
             warn!(gateway.logger, "stream_broken"; "request" => %self.context.caller.attempt,
-                "upstream" => %upstream, "why" => why, "resumes" => resumes,
-                "last_event" => self.progress.last_event.as_deref(), "runs" => self.progress.runs);
+                "upstream" => %upstream, "why" => why, "resumes" => obstacle.is_none(),
+                "last_event" => self.progress.last_event.as_deref(), "runs" => self.progress.runs,
+                "left_ms" => self.remaining_ms(), "config" => gateway.lock().config_version());
         }
-        if !resumes {
-            return None;
+        if let Some(cause) = obstacle {
+            return Err(cause);
         }
         self.resumed = true;
         loop {
-            let admitted = admit(&gateway, &self.context).ok()?;
-            let (chosen, admitted) =
-                choose_upstream(&gateway, &self.context, admitted, &mut self.progress).await.ok()?;
+            let rejected = |rejection: RequestRejection| CutCause::Rejected(rejection.kind);
+            let admitted = admit(&gateway, &self.context).map_err(rejected)?;
+            let chosen = choose_upstream(&gateway, &self.context, admitted, &mut self.progress).await;
+            let (chosen, admitted) = chosen.map_err(rejected)?;
             let guard = CallGuard::new(&gateway, &chosen, self.progress.need.model.as_ref());
             match open_stream(&gateway, &self.context, &admitted, &self.progress, &chosen, guard).await {
                 Ok(source) if source.status.is_success() => {
                     gateway.metrics.resumes.inc();
                     self.progress.runs += 1;
-                    return Some(source);
+                    return Ok(source);
                 }
                 Err(SendOutcome::NotSent) if self.progress.unreached < 3 => {
                     self.progress.unreached += 1;
@@ -395,8 +408,26 @@
                     }
                 }
                 Err(SendOutcome::Withheld) => {}
-                Ok(_) | Err(_) => return None,
+                Err(SendOutcome::NotSent) => return Err(CutCause::Unreachable),
+                Err(SendOutcome::NotRun(_)) => return Err(CutCause::Refused),
+                Err(_) => return Err(CutCause::Lost),
+                Ok(_) => return Err(CutCause::Failed),
             }
         }
     }
+
+    /// Takes a retry for resuming the stream; otherwise tells what forbids it.
+    fn take_resume(&self, now: ClockTime) -> Result<(), CutCause> {
+        if !self.admitted.route.is_retryable() || self.progress.last_event.is_none() {
+            return Err(CutCause::NotResumable);
+        }
+        if self.progress.runs >= self.admitted.route.max_attempts {
+            return Err(CutCause::AttemptsUsed);
+        }
+        if now >= self.progress.limit.reject_at() {
+            return Err(CutCause::Deadline);
+        }
+        let taken = may_retry(&self.gateway, &self.admitted, &self.progress, now);
+        if taken { Ok(()) } else { Err(CutCause::NoRetryLeft) }
+    }
 }
