--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -22,7 +22,7 @@
 use crate::request_flow::route_kind_name;
 use crate::request_rejection::RequestRejection;
 use crate::response_body::ResponseBody;
-use crate::stream_relay::stream_call;
+use crate::stream_call::stream_call;
 
 /// Sends that upstreams refuse without running the request, on top of the attempts that the route allows.
 const MAX_REFUSED_SENDS: u32 = 3;
--- /dev/null
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -0,0 +1,133 @@
+//! A stream of events from one upstream: it is opened, read in whole events, and its end told from a break.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cowslip_adapter::event_id;
+use cowslip_units::{ErrorKind, UpstreamId};
+use http::StatusCode;
+use http::header::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use crate::dispatch::{CallGuard, RequestProgress, SendOutcome};
+use crate::gateway_state::Gateway;
+use crate::plain_call::{
+    HeadCheck, check_and_record_head, fault_outcome, return_refused_connection, send_target,
+};
+use crate::request_context::{AdmittedRequest, RequestContext, may_send};
+use crate::upstream_pool::UpstreamConnection;
+use crate::upstream_request::upstream_request;
+
+/// Longest event in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Reason logged for a source that sent nothing for too long.
+pub(crate) const SILENT: &str = "silent";
+
+/// An event stream from one upstream.
+#[derive(Debug)]
+pub(crate) struct EventSource {
+    pub upstream: UpstreamId,
+    pub headers: HeaderMap,
+    pub status: StatusCode,
+    pub body: Incoming,
+    pub connection: UpstreamConnection,
+    /// Bytes of an incomplete event.
+    partial: BytesMut,
+    pub guard: CallGuard,
+}
+
+/// Result of waiting for events.
+pub(crate) enum NextEvents {
+    /// One or more complete events.
+    Events(Bytes),
+    /// The upstream ended the stream properly.
+    End,
+    /// The stream broke or stalled; holds the reason.
+    Broken(&'static str),
+}
+
+impl EventSource {
+    /// Waits at most `wait_ms` for complete events. Bytes of an event that is never completed do not count as
+    /// progress.
+    pub(crate) async fn next(&mut self, wait_ms: u64) -> NextEvents {
+        let next = timeout(Duration::from_millis(wait_ms), self.read_events()).await;
+        next.unwrap_or(NextEvents::Broken(SILENT))
+    }
+
+    async fn read_events(&mut self) -> NextEvents {
+        loop {
+            let frame = match self.body.frame().await {
+                Some(Err(_)) => return NextEvents::Broken("broken"),
+                None if self.partial.is_empty() => return NextEvents::End,
+                None => return NextEvents::Broken("partial"),
+                Some(Ok(frame)) => frame,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            // The earlier bytes hold no event end, but may end with its first byte.
+            let scanned = self.partial.len().saturating_sub(1);
+            self.partial.extend_from_slice(&data);
+            if self.partial.len() > MAX_EVENT_BYTES {
+                return NextEvents::Broken("too long");
+            }
+            if let Some(end) = self.partial.get(scanned..).and_then(last_event_end) {
+                return NextEvents::Events(self.partial.split_to(scanned + end).freeze());
+            }
+        }
+    }
+}
+
+/// Offset after the last complete event; `None` when there is none.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
+}
+
+/// Id of the last event in a sequence of complete events.
+pub(crate) fn last_event_id(events: &[u8]) -> Option<SmolStr> {
+    let body = events.strip_suffix(b"\n\n").unwrap_or(events);
+    let start = body.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
+    event_id(body.get(start..).unwrap_or_default())
+}
+
+/// Sends the request and checks the response head.
+pub(crate) async fn open_stream(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    upstream: &UpstreamId,
+    guard: CallGuard,
+) -> Result<EventSource, SendOutcome> {
+    let now = gateway.now();
+    let (address, start) = send_target(gateway, upstream).ok_or(SendOutcome::NotSent)?;
+    let last_event = progress.last_event.as_deref();
+    let request = upstream_request(context, admitted, &progress.limit, upstream, last_event, now);
+    let request = request.map_err(|_| SendOutcome::NotSent)?;
+    let allowed = || may_send(gateway, context, upstream, now);
+    let sent = gateway.pool.send(address, request, allowed).await;
+    let (response, connection) = sent.map_err(|fault| fault_outcome(&fault))?;
+    let (parts, body) = response.into_parts();
+    match check_and_record_head(gateway, context, &start, parts.status, &parts.headers) {
+        HeadCheck::NotRun(misplaced) => {
+            return_refused_connection(gateway, connection, body, &parts.headers, context).await;
+            Err(SendOutcome::NotRun(misplaced))
+        }
+        HeadCheck::Mismatched => {
+            connection.close();
+            Err(SendOutcome::Lost(ErrorKind::UpstreamGarbled))
+        }
+        HeadCheck::Valid => Ok(EventSource {
+            upstream: upstream.clone(),
+            headers: parts.headers,
+            status: parts.status,
+            body,
+            connection,
+            partial: BytesMut::new(),
+            guard,
+        }),
+    }
+}
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -1,260 +1,31 @@
-//! Streamed responses. The first event is awaited before the caller gets a response head, then whole events
-//! are relayed as they arrive. A stream that breaks is resumed at another upstream from its last event, where
-//! the route allows it.
+//! The rest of a streamed response, after its first event: whole events are relayed as they arrive. A stream
+//! that breaks is resumed at another upstream from its last event, where the route allows it.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use cowslip_adapter::event_id;
-use cowslip_units::{ClockTime, ErrorKind, UpstreamId};
-use http::StatusCode;
-use http::header::HeaderMap;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use cowslip_units::{ClockTime, UpstreamId};
 use slog::{info, warn};
-use smol_str::SmolStr;
-use tokio::sync::mpsc::{self, Sender};
-use tokio::time::timeout;
+use tokio::sync::mpsc::Sender;
 
 use crate::cut_cause::CutCause;
 use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, choose_upstream, has_alternative, may_retry};
+use crate::event_source::{EventSource, NextEvents, SILENT, last_event_id, open_stream};
 use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
-use crate::plain_call::{
-    HeadCheck, caller_response, check_and_record_head, fault_outcome, read_full_body, record_response,
-    return_connection, return_refused_connection, send_target, wait_or_abandon,
-};
-use crate::request_context::{AdmittedRequest, RequestContext, admit, may_send};
+use crate::plain_call::return_connection;
+use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_rejection::RequestRejection;
-use crate::response_body::{ResponseAborted, ResponseBody};
-use crate::upstream_pool::UpstreamConnection;
-use crate::upstream_request::upstream_request;
-
-/// Chunks buffered for a slow caller.
-const MAX_QUEUED_CHUNKS: usize = 16;
-
-/// Longest event in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+use crate::response_body::ResponseAborted;
 
 /// Silence in ms after which a stream is resumed at another upstream, where that is allowed.
 const STALL_TIMEOUT_MS: u64 = 1_200;
 
-/// Reason logged for a source that sent nothing for too long.
-const SILENT: &str = "silent";
-
 /// Events that are ready this many ms after a request's deadline are still relayed.
 const DEADLINE_GRACE_MS: u64 = 300;
 
-/// Timeout of the first event as a multiple of the route's latency objective, where the request may be
-/// retried.
-const FIRST_EVENT_FACTOR: u64 = 2;
-
-/// Shortest timeout of the first event, in ms.
-const MIN_FIRST_EVENT_MS: u64 = 1_000;
-
-/// An event stream from one upstream.
-#[derive(Debug)]
-struct EventSource {
-    upstream: UpstreamId,
-    headers: HeaderMap,
-    status: StatusCode,
-    body: Incoming,
-    connection: UpstreamConnection,
-    /// Bytes of an incomplete event.
-    partial: BytesMut,
-    guard: CallGuard,
-}
-
-/// Result of waiting for events.
-enum NextEvents {
-    /// One or more complete events.
-    Events(Bytes),
-    /// The upstream ended the stream properly.
-    End,
-    /// The stream broke or stalled; holds the reason.
-    Broken(&'static str),
-}
-
-impl EventSource {
-    /// Waits at most `wait_ms` for complete events. Bytes of an event that is never completed do not count as
-    /// progress.
-    async fn next(&mut self, wait_ms: u64) -> NextEvents {
-        let next = timeout(Duration::from_millis(wait_ms), self.read_events()).await;
-        next.unwrap_or(NextEvents::Broken(SILENT))
-    }
-
-    async fn read_events(&mut self) -> NextEvents {
-        loop {
-            let frame = match self.body.frame().await {
-                Some(Err(_)) => return NextEvents::Broken("broken"),
-                None if self.partial.is_empty() => return NextEvents::End,
-                None => return NextEvents::Broken("partial"),
-                Some(Ok(frame)) => frame,
-            };
-            let Ok(data) = frame.into_data() else { continue };
-            // The earlier bytes hold no event end, but may end with its first byte.
-            let scanned = self.partial.len().saturating_sub(1);
-            self.partial.extend_from_slice(&data);
-            if self.partial.len() > MAX_EVENT_BYTES {
-                return NextEvents::Broken("too long");
-            }
-            if let Some(end) = self.partial.get(scanned..).and_then(last_event_end) {
-                return NextEvents::Events(self.partial.split_to(scanned + end).freeze());
-            }
-        }
-    }
-}
-
-/// Offset after the last complete event; `None` when there is none.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
-}
-
-/// Id of the last event in a sequence of complete events.
-fn last_event_id(events: &[u8]) -> Option<SmolStr> {
-    let body = events.strip_suffix(b"\n\n").unwrap_or(events);
-    let start = body.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
-    event_id(body.get(start..).unwrap_or_default())
-}
-
-/// Opens the stream and returns a response that starts with its first events.
-pub(crate) async fn stream_call(
-    gateway: &Arc<Gateway>,
-    context: &RequestContext,
-    admitted: &AdmittedRequest,
-    progress: &RequestProgress,
-    upstream: &UpstreamId,
-    guard: CallGuard,
-) -> SendOutcome {
-    let sent_at = gateway.now();
-    let end_ms = progress.limit.end_by.since_ms(sent_at);
-    let can_retry = admitted.route.is_retryable() && progress.runs + 1 < admitted.route.max_attempts;
-    let abandon_after_ms = (admitted.route.objective_ms * FIRST_EVENT_FACTOR).max(MIN_FIRST_EVENT_MS);
-    let wait_ms = if can_retry { end_ms.min(abandon_after_ms) } else { end_ms };
-    let opened = async {
-        let mut source = match open_stream(gateway, context, admitted, progress, upstream, guard).await {
-            Ok(source) => source,
-            Err(outcome) => return Err(outcome),
-        };
-        if !source.status.is_success() {
-            return Ok((source, NextEvents::End));
-        }
-        let first = source.next(end_ms).await;
-        Ok((source, first))
-    };
-    let should_abandon = || has_alternative(gateway, admitted, progress, progress.runs + 1, upstream);
-    let (source, first) = match wait_or_abandon(opened, wait_ms, end_ms, should_abandon).await {
-        Some(Ok(opened)) => opened,
-        Some(Err(outcome)) => return outcome,
-        None => return SendOutcome::Lost(ErrorKind::DeadlineExceeded),
-    };
-    let first_byte_ms = gateway.now().since_ms(sent_at);
-    if !source.status.is_success() {
-        let left_ms = progress.limit.end_by.since_ms(gateway.now());
-        let read =
-            timeout(Duration::from_millis(left_ms), failed_response(gateway, source, first_byte_ms)).await;
-        return read.unwrap_or(SendOutcome::Lost(ErrorKind::DeadlineExceeded));
-    }
-    match first {
-        NextEvents::Events(events) => {
-            record_response(gateway, upstream, source.status, &source.headers, first_byte_ms);
-            let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-            let response = caller_response(source.status, &source.headers, ResponseBody::Streamed(receiver));
-            let relay = StreamRelay {
-                gateway: Arc::clone(gateway),
-                context: context.clone(),
-                admitted: admitted.clone(),
-                progress: resumed_progress(progress),
-                sender,
-                resumed: false,
-            };
-            tokio::spawn(relay.run(source, events));
-            SendOutcome::Answered(response)
-        }
-        NextEvents::End => {
-            record_response(gateway, upstream, source.status, &source.headers, first_byte_ms);
-            let response = caller_response(source.status, &source.headers, ResponseBody::buffered(""));
-            return_connection(gateway, source.connection, &source.headers);
-            SendOutcome::Answered(response)
-        }
-        NextEvents::Broken(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
-    }
-}
-
-/// State of a stream whose caller already has a response head: it may be resumed until the request's
-/// deadline.
-fn resumed_progress(progress: &RequestProgress) -> RequestProgress {
-    let mut limit = progress.limit;
-    limit.begin_by = limit.end_by;
-    RequestProgress {
-        need: progress.need.clone(),
-        limit,
-        tried: progress.tried.clone(),
-        runs: progress.runs + 1,
-        refused: progress.refused,
-        unreached: progress.unreached,
-        waited_ms: progress.waited_ms,
-        cause: progress.cause,
-        last_event: progress.last_event.clone(),
-    }
-}
-
-/// Sends the request and checks the response head.
-async fn open_stream(
-    gateway: &Arc<Gateway>,
-    context: &RequestContext,
-    admitted: &AdmittedRequest,
-    progress: &RequestProgress,
-    upstream: &UpstreamId,
-    guard: CallGuard,
-) -> Result<EventSource, SendOutcome> {
-    let now = gateway.now();
-    let (address, start) = send_target(gateway, upstream).ok_or(SendOutcome::NotSent)?;
-    let last_event = progress.last_event.as_deref();
-    let request = upstream_request(context, admitted, &progress.limit, upstream, last_event, now);
-    let request = request.map_err(|_| SendOutcome::NotSent)?;
-    let allowed = || may_send(gateway, context, upstream, now);
-    let sent = gateway.pool.send(address, request, allowed).await;
-    let (response, connection) = sent.map_err(|fault| fault_outcome(&fault))?;
-    let (parts, body) = response.into_parts();
-    match check_and_record_head(gateway, context, &start, parts.status, &parts.headers) {
-        HeadCheck::NotRun(misplaced) => {
-            return_refused_connection(gateway, connection, body, &parts.headers, context).await;
-            Err(SendOutcome::NotRun(misplaced))
-        }
-        HeadCheck::Mismatched => {
-            connection.close();
-            Err(SendOutcome::Lost(ErrorKind::UpstreamGarbled))
-        }
-        HeadCheck::Valid => Ok(EventSource {
-            upstream: upstream.clone(),
-            headers: parts.headers,
-            status: parts.status,
-            body,
-            connection,
-            partial: BytesMut::new(),
-            guard,
-        }),
-    }
-}
-
-/// Reads the whole response of an upstream that failed by itself.
-async fn failed_response(gateway: &Arc<Gateway>, source: EventSource, first_byte_ms: u64) -> SendOutcome {
-    let EventSource { upstream, headers, status, body, connection, guard, .. } = source;
-    drop(guard);
-    record_response(gateway, &upstream, status, &headers, first_byte_ms);
-    match read_full_body(body).await {
-        Ok(body) => {
-            return_connection(gateway, connection, &headers);
-            SendOutcome::Failure(caller_response(status, &headers, ResponseBody::buffered(body)))
-        }
-        Err(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
-    }
-}
-
 /// Relays a stream to its caller.
-struct StreamRelay {
+pub(crate) struct StreamRelay {
     gateway: Arc<Gateway>,
     context: RequestContext,
     admitted: AdmittedRequest,
@@ -264,7 +35,27 @@
 }
 
 impl StreamRelay {
-    async fn run(mut self, source: EventSource, first: Bytes) {
+    /// A relay to the caller that reads from `sender`'s other end; `progress` counts the send that began the
+    /// stream.
+    pub(crate) fn new(
+        gateway: &Arc<Gateway>,
+        context: &RequestContext,
+        admitted: &AdmittedRequest,
+        progress: RequestProgress,
+        sender: Sender<Result<Bytes, ResponseAborted>>,
+    ) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            context: context.clone(),
+            admitted: admitted.clone(),
+            progress,
+            sender,
+            resumed: false,
+        }
+    }
+
+    /// Relays `first` and all further events of `source`, until the stream ends or its caller disconnects.
+    pub(crate) async fn run(mut self, source: EventSource, first: Bytes) {
         let sender = self.sender.clone();
         let left = sender.closed();
         tokio::select! {
