gateway: keep a silent upstream until another one has taken its stream over

Cause: after 1.2 s of silence the relay closed the upstream first, and then asked for a retry, the configuration, an upstream, a connection and a head. Each can fail, and each failure ended the caller's answer: a working resource was released before its replacement was held. The request that resumes had no time limit either, and the upstream just closed could be chosen again. Change: a silent stream is offered to another upstream while it is read on. Whoever sends the next event first goes on. The retry is taken when the request is written. A broken stream tries further upstreams as other requests do, with the deadline as its limit.

--- a/crates/cowslip-gateway/src/cut_cause.rs
+++ b/crates/cowslip-gateway/src/cut_cause.rs
@@ -1,10 +1,13 @@
-//! Why a stream was cut: its caller got events, but no proper end.
+//! Why a stream was cut, its caller having got events but no proper end, or why a silent one was not handed
+//! over.
 
 use std::fmt;
 
 use cowslip_units::ErrorKind;
 
-/// Why a stream was cut.
+use crate::dispatch::SendOutcome;
+
+/// Why a stream was cut, or not handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CutCause {
     /// The request's deadline was reached or too close for another attempt.
@@ -15,6 +18,8 @@
     AttemptsUsed,
     /// The retry budget was empty.
     NoRetryLeft,
+    /// No other upstream can take it at once.
+    NoAlternative,
     /// It is no longer allowed, or no upstream could take it.
     Rejected(ErrorKind),
     /// The upstreams that were chosen did not accept a connection.
@@ -28,6 +33,18 @@
 }
 
 impl CutCause {
+    /// Cause when no further upstream can be tried after this outcome of a send; `None` for outcomes that do not
+    /// end a stream.
+    pub(crate) const fn of_outcome(outcome: &SendOutcome) -> Option<Self> {
+        match outcome {
+            SendOutcome::NotSent => Some(Self::Unreachable),
+            SendOutcome::NotRun(_) => Some(Self::Refused),
+            SendOutcome::Failure(_) => Some(Self::Failed),
+            SendOutcome::Lost(_) => Some(Self::Lost),
+            SendOutcome::Answered(_) | SendOutcome::Withheld => None,
+        }
+    }
+
     /// Name in logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -35,6 +52,7 @@
             Self::NotResumable => "not_resumable",
             Self::AttemptsUsed => "attempts_used",
             Self::NoRetryLeft => "no_retry_left",
+            Self::NoAlternative => "no_alternative",
             Self::Rejected(kind) => kind.as_str(),
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use cowslip_entry::{
-    ModelNeed, RequestNeed, RouteKind, UpstreamPick, WaitCause, WaitLimit, jittered_ms, text_hash,
+    ModelNeed, RequestNeed, RouteKind, ServiceRule, UpstreamPick, WaitCause, WaitLimit, jittered_ms,
+    text_hash,
 };
 use cowslip_units::{ClockTime, ErrorKind, ServiceId, UpstreamId};
 use http::Response;
@@ -25,10 +26,10 @@
 use crate::stream_call::stream_call;
 
 /// Sends that upstreams refuse without running the request, on top of the attempts that the route allows.
-const MAX_REFUSED_SENDS: u32 = 3;
+pub(crate) const MAX_REFUSED_SENDS: u32 = 3;
 
 /// Failed connections for one request before it is rejected.
-const MAX_UNREACHABLE: u32 = 8;
+pub(crate) const MAX_UNREACHABLE: u32 = 8;
 
 /// Longest pause in ms between two attempts to pick an upstream.
 const POLL_MS: u64 = 150;
@@ -58,7 +59,7 @@
 }
 
 impl SendOutcome {
-    const fn name(&self) -> &'static str {
+    pub(crate) const fn name(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
             Self::Failure(_) => "failure",
@@ -198,6 +199,14 @@
     }
 }
 
+/// True when the service's configuration does not have the model of a request.
+fn is_unknown_model(service: &ServiceRule, need: &RequestNeed) -> bool {
+    match (&need.model, &service.engine) {
+        (Some(need), Some(engine)) => engine.model(&need.model).is_none(),
+        _ => false,
+    }
+}
+
 /// Waits until an upstream can take the request.
 pub(crate) async fn choose_upstream(
     gateway: &Arc<Gateway>,
@@ -218,11 +227,7 @@
         let Some(service) = admitted.config.service(&progress.need.service) else {
             return Err(RequestRejection::new(ErrorKind::NoCapacity));
         };
-        let unknown = match (&progress.need.model, &service.engine) {
-            (Some(need), Some(engine)) => engine.model(&need.model).is_none(),
-            _ => false,
-        };
-        if unknown {
+        if is_unknown_model(service, &progress.need) {
             return Err(RequestRejection::new(ErrorKind::ModelNotFound));
         }
         let pick = gateway.lock().pick(&gateway.settings, service, &progress.need, &progress.tried, now);
@@ -341,7 +346,7 @@
 }
 
 /// Records a send, and counts it against the slow-start limit of an upstream that is warming up.
-fn record_send(gateway: &Gateway, cold_per_s: f64, upstream: &UpstreamId, now: ClockTime) {
+pub(crate) fn record_send(gateway: &Gateway, cold_per_s: f64, upstream: &UpstreamId, now: ClockTime) {
     let mut state = gateway.lock();
     let members = state.members.len().max(1);
     if let Some(known) = state.upstreams.get_mut(upstream) {
@@ -363,13 +368,7 @@
 ) -> Result<Option<Response<ResponseBody>>, RequestRejection> {
     let now = gateway.now();
     let kind = route_kind_name(admitted.route.kind);
-    let name = outcome.name();
-    gateway.metrics.sends.get_or_create(&OutcomeLabels { kind, outcome: name }).inc();
-    if !matches!(outcome, SendOutcome::Answered(_)) && gateway.may_log() {
-        warn!(gateway.logger, "send_failed"; "request" => %context.caller.attempt, "upstream" => %upstream,
-            "outcome" => name, "runs" => progress.runs, "refused" => progress.refused,
-            "after_ms" => now.since_ms(context.arrived_at));
-    }
+    record_outcome(gateway, context, admitted, progress, upstream, &outcome);
     match outcome {
         SendOutcome::Answered(response) => {
             if gateway.may_log() {
@@ -385,48 +384,83 @@
             gateway.metrics.requests.get_or_create(&OutcomeLabels { kind, outcome: "answered" }).inc();
             Ok(Some(response))
         }
+        SendOutcome::NotSent if progress.unreached > MAX_UNREACHABLE => Err(final_rejection(progress)),
+        SendOutcome::NotSent | SendOutcome::Withheld => Ok(None),
+        SendOutcome::NotRun(_) => {
+            let can_retry =
+                progress.refused <= MAX_REFUSED_SENDS && take_retry(gateway, &progress.need.service, now);
+            if can_retry { Ok(None) } else { Err(final_rejection(progress)) }
+        }
+        SendOutcome::Failure(response) => {
+            if may_retry(gateway, admitted, progress, now) {
+                Ok(None)
+            } else {
+                Ok(Some(response))
+            }
+        }
+        SendOutcome::Lost(kind) => {
+            if may_retry(gateway, admitted, progress, now) {
+                Ok(None)
+            } else {
+                Err(RequestRejection::new(kind))
+            }
+        }
+    }
+}
+
+/// Records how a send ended: in the metrics, the log, the upstream's statistics and the request's progress.
+pub(crate) fn record_outcome(
+    gateway: &Gateway,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    progress: &mut RequestProgress,
+    upstream: &UpstreamId,
+    outcome: &SendOutcome,
+) {
+    let now = gateway.now();
+    let kind = route_kind_name(admitted.route.kind);
+    let name = outcome.name();
+    gateway.metrics.sends.get_or_create(&OutcomeLabels { kind, outcome: name }).inc();
+    if !matches!(outcome, SendOutcome::Answered(_)) && gateway.may_log() {
+        warn!(gateway.logger, "send_failed"; "request" => %context.caller.attempt, "upstream" => %upstream,
+            "outcome" => name, "runs" => progress.runs, "refused" => progress.refused,
+            "after_ms" => now.since_ms(context.arrived_at));
+    }
+    match outcome {
+        SendOutcome::Answered(_) => {}
         SendOutcome::NotSent => {
             if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
                 known.record_unreachable(now);
                 known.breaker.undecided(now);
             }
             progress.unreached += 1;
-            if progress.unreached > MAX_UNREACHABLE { Err(final_rejection(progress)) } else { Ok(None) }
-        }
-        SendOutcome::Withheld => {
-            if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
-                known.breaker.undecided(now);
-            }
-            Ok(None)
         }
+        SendOutcome::Withheld => record_undecided(gateway, upstream, now),
         SendOutcome::NotRun(misplaced) => {
-            record_not_run(gateway, progress, upstream, misplaced, now);
+            record_not_run(gateway, progress, upstream, *misplaced, now);
             progress.refused += 1;
-            let can_retry = progress.refused <= MAX_REFUSED_SENDS && take_retry(gateway, progress, now);
-            if can_retry { Ok(None) } else { Err(final_rejection(progress)) }
         }
-        SendOutcome::Failure(response) => {
+        SendOutcome::Failure(_) => {
             progress.runs += 1;
-            if may_retry(gateway, admitted, progress, now) {
-                progress.tried.push(upstream.clone());
-                return Ok(None);
-            }
-            Ok(Some(response))
+            progress.tried.push(upstream.clone());
         }
-        SendOutcome::Lost(kind) => {
-            progress.runs += 1;
+        SendOutcome::Lost(_) => {
             if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
                 known.record_failure(now);
             }
-            if may_retry(gateway, admitted, progress, now) {
-                progress.tried.push(upstream.clone());
-                return Ok(None);
-            }
-            Err(RequestRejection::new(kind))
+            progress.runs += 1;
+            progress.tried.push(upstream.clone());
         }
     }
 }
 
+/// Records that a send to an upstream shows neither that it is sound nor that it is not.
+pub(crate) fn record_undecided(gateway: &Gateway, upstream: &UpstreamId, now: ClockTime) {
+    if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
+        known.breaker.undecided(now);
+    }
+}
+
 fn record_not_run(
     gateway: &Gateway,
     progress: &RequestProgress,
@@ -456,7 +490,14 @@
     admitted.route.is_retryable()
         && progress.runs < admitted.route.max_attempts
         && now < progress.limit.reject_at()
-        && take_retry(gateway, progress, now)
+        && take_retry(gateway, &progress.need.service, now)
+}
+
+/// True when the retry budget covers a retry of a service's request.
+pub(crate) fn has_retry(gateway: &Gateway, service: &ServiceId, now: ClockTime) -> bool {
+    let mut state = gateway.lock();
+    let members = state.member_count();
+    state.retry_throttle(service, now).has_retry(gateway.settings.retries, members, now)
 }
 
 /// True when a slow request should be abandoned for another upstream: one is available and the retry budget
@@ -473,24 +514,36 @@
     let allowed = admitted.route.is_retryable()
         && runs < admitted.route.max_attempts
         && now < progress.limit.reject_at();
-    let Some(service) = admitted.config.service(&progress.need.service) else { return false };
+    allowed
+        && has_retry(gateway, &progress.need.service, now)
+        && pick_alternative(gateway, admitted, progress, slow, now).is_some()
+}
+
+/// Another upstream than `slow` that can take a request at once, and was not tried before.
+pub(crate) fn pick_alternative(
+    gateway: &Gateway,
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    slow: &UpstreamId,
+    now: ClockTime,
+) -> Option<UpstreamId> {
+    let service = admitted.config.service(&progress.need.service)?;
+    if is_unknown_model(service, &progress.need) {
+        return None;
+    }
     let mut tried = progress.tried.clone();
     tried.push(slow.clone());
-    let mut state = gateway.lock();
-    let members = state.member_count();
-    let budget = state.retry_throttle(&progress.need.service, now);
-    if !allowed || !budget.has_retry(gateway.settings.retries, members, now) {
-        return false;
+    match gateway.lock().pick(&gateway.settings, service, &progress.need, &tried, now) {
+        UpstreamPick::Send(other) if !tried.contains(&other) => Some(other),
+        UpstreamPick::Send(_) | UpstreamPick::Wait(_) => None,
     }
-    let pick = state.pick(&gateway.settings, service, &progress.need, &tried, now);
-    matches!(pick, UpstreamPick::Send(other) if !tried.contains(&other))
 }
 
-fn take_retry(gateway: &Gateway, progress: &RequestProgress, now: ClockTime) -> bool {
+/// Takes one retry of a service's requests from the budget; false when it is empty.
+pub(crate) fn take_retry(gateway: &Gateway, service: &ServiceId, now: ClockTime) -> bool {
     let mut state = gateway.lock();
     let members = state.member_count();
-    let taken =
-        state.retry_throttle(&progress.need.service, now).take(gateway.settings.retries, members, now);
+    let taken = state.retry_throttle(service, now).take(gateway.settings.retries, members, now);
     if taken {
         gateway.metrics.retries.inc();
     }
--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -38,6 +38,8 @@
     pub connection: UpstreamConnection,
     /// Bytes of an incomplete event.
     partial: BytesMut,
+    /// Why the stream broke; it stays broken.
+    pub fault: Option<&'static str>,
     pub guard: CallGuard,
 }
 
@@ -60,6 +62,17 @@
     }
 
     async fn read_events(&mut self) -> NextEvents {
+        if let Some(fault) = self.fault {
+            return NextEvents::Broken(fault);
+        }
+        let next = self.read_body().await;
+        if let NextEvents::Broken(fault) = next {
+            self.fault = Some(fault);
+        }
+        next
+    }
+
+    async fn read_body(&mut self) -> NextEvents {
         loop {
             let frame = match self.body.frame().await {
                 Some(Err(_)) => return NextEvents::Broken("broken"),
@@ -93,7 +106,8 @@
     event_id(body.get(start..).unwrap_or_default())
 }
 
-/// Sends the request and checks the response head.
+/// Sends the request, if `may_write` still allows it once the connection is ready, and checks the response
+/// head.
 pub(crate) async fn open_stream(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
@@ -101,13 +115,14 @@
     progress: &RequestProgress,
     upstream: &UpstreamId,
     guard: CallGuard,
+    may_write: impl Fn() -> bool,
 ) -> Result<EventSource, SendOutcome> {
     let now = gateway.now();
     let (address, start) = send_target(gateway, upstream).ok_or(SendOutcome::NotSent)?;
     let last_event = progress.last_event.as_deref();
     let request = upstream_request(context, admitted, &progress.limit, upstream, last_event, now);
     let request = request.map_err(|_| SendOutcome::NotSent)?;
-    let allowed = || may_send(gateway, context, upstream, now);
+    let allowed = || may_send(gateway, context, upstream, now) && may_write();
     let sent = gateway.pool.send(address, request, allowed).await;
     let (response, connection) = sent.map_err(|fault| fault_outcome(&fault))?;
     let (parts, body) = response.into_parts();
@@ -127,6 +142,7 @@
             body,
             connection,
             partial: BytesMut::new(),
+            fault: None,
             guard,
         }),
     }
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! - process start and shutdown: [`run_gateway`]
 //! - shared state: `gateway_state`, `standalone_share`
 //! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`,
-//!   `stream_call`, `event_source`, `stream_relay`, `cut_cause`
+//!   `stream_call`, `event_source`, `stream_relay`, `stream_handover`, `resume_permit`, `cut_cause`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
 //! - store and other gateways: `store_watch`, `leader_exchange`, `report_builder`
@@ -30,9 +30,11 @@
 mod request_flow;
 mod request_rejection;
 mod response_body;
+mod resume_permit;
 mod standalone_share;
 mod store_watch;
 mod stream_call;
+mod stream_handover;
 mod stream_relay;
 mod upstream_notice;
 mod upstream_pool;
--- a/crates/cowslip-gateway/src/stream_call.rs
+++ b/crates/cowslip-gateway/src/stream_call.rs
@@ -43,10 +43,11 @@
     let abandon_after_ms = (admitted.route.objective_ms * FIRST_EVENT_FACTOR).max(MIN_FIRST_EVENT_MS);
     let wait_ms = if can_retry { end_ms.min(abandon_after_ms) } else { end_ms };
     let opened = async {
-        let mut source = match open_stream(gateway, context, admitted, progress, upstream, guard).await {
-            Ok(source) => source,
-            Err(outcome) => return Err(outcome),
-        };
+        let mut source =
+            match open_stream(gateway, context, admitted, progress, upstream, guard, || true).await {
+                Ok(source) => source,
+                Err(outcome) => return Err(outcome),
+            };
         if !source.status.is_success() {
             return Ok((source, NextEvents::End));
         }
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -1,24 +1,32 @@
-//! The rest of a streamed response, after its first event: whole events are relayed as they arrive. A stream
-//! that breaks is resumed at another upstream from its last event, where the route allows it.
+//! The rest of a streamed response, after its first event: whole events are relayed as they arrive. Where the
+//! route allows it, a stream that breaks is resumed at another upstream from its last event, and one that falls
+//! silent is offered to another upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use cowslip_units::{ClockTime, UpstreamId};
+use cowslip_units::{ClockTime, ErrorKind, UpstreamId};
 use slog::{info, warn};
 use tokio::sync::mpsc::Sender;
+use tokio::time::timeout;
 
 use crate::cut_cause::CutCause;
-use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, choose_upstream, has_alternative, may_retry};
+use crate::dispatch::{
+    CallGuard, MAX_REFUSED_SENDS, MAX_UNREACHABLE, RequestProgress, SendOutcome, choose_upstream, has_retry,
+    pick_alternative, record_outcome, record_send, record_undecided,
+};
 use crate::event_source::{EventSource, NextEvents, SILENT, last_event_id, open_stream};
 use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
-use crate::plain_call::return_connection;
+use crate::plain_call::{caller_response, record_response, return_connection};
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_rejection::RequestRejection;
-use crate::response_body::ResponseAborted;
+use crate::response_body::{ResponseAborted, ResponseBody};
+use crate::resume_permit::ResumePermit;
+use crate::stream_handover::{HandoverOutcome, offer_stream};
 
-/// Silence in ms after which a stream is resumed at another upstream, where that is allowed.
+/// Silence in ms after which a stream is offered to another upstream, where that is allowed.
 const STALL_TIMEOUT_MS: u64 = 1_200;
 
 /// Events that are ready this many ms after a request's deadline are still relayed.
@@ -72,6 +80,7 @@
     async fn relay(&mut self, source: EventSource, first: Bytes) {
         let mut source = source;
         let mut events = first;
+        let mut pending = None;
         loop {
             if let Some(id) = last_event_id(&events) {
                 self.progress.last_event = Some(id);
@@ -85,16 +94,19 @@
                     self.abort(CutCause::Deadline, &source.upstream).await;
                     return;
                 }
-                let mut next = source.next(self.wait_ms()).await;
-                if matches!(next, NextEvents::Broken(SILENT)) && !self.can_switch_upstream(&source.upstream) {
-                    next = source.next(self.remaining_ms()).await;
-                }
+                let next = match pending.take() {
+                    Some(next) => next,
+                    None => source.next(self.wait_ms()).await,
+                };
                 match next {
                     NextEvents::Events(events) => break events,
                     NextEvents::End => {
                         self.finish(source);
                         return;
                     }
+                    NextEvents::Broken(SILENT) if self.remaining_ms() > 0 => {
+                        (source, pending) = self.hand_over(source).await;
+                    }
                     NextEvents::Broken(why) => {
                         let broken = source.upstream.clone();
                         match self.resume(source, why).await {
@@ -142,11 +154,6 @@
         if can_retry { self.remaining_ms().min(STALL_TIMEOUT_MS) } else { self.remaining_ms() }
     }
 
-    /// True when a silent upstream should be abandoned for another one.
-    fn can_switch_upstream(&self, silent: &UpstreamId) -> bool {
-        has_alternative(&self.gateway, &self.admitted, &self.progress, self.progress.runs, silent)
-    }
-
     fn finish(&self, source: EventSource) {
         let EventSource { upstream, headers, connection, guard, .. } = source;
         drop(guard);
@@ -158,67 +165,174 @@
         }
     }
 
-    /// Resumes the stream at another upstream from the last event.
-    async fn resume(&mut self, source: EventSource, why: &'static str) -> Result<EventSource, CutCause> {
-        let gateway = Arc::clone(&self.gateway);
-        let now = gateway.now();
-        let upstream = source.upstream.clone();
-        source.connection.close();
-        drop(source.guard);
-        if let Some(known) = gateway.lock().upstreams.get_mut(&upstream) {
-            known.record_failure(now);
-        }
-        self.progress.tried.push(upstream.clone());
-        let obstacle = self.take_resume(now).err();
-        if gateway.may_log() {
-            warn!(gateway.logger, "stream_broken"; "request" => %self.context.caller.attempt,
-                "upstream" => %upstream, "why" => why, "resumes" => obstacle.is_none(),
-                "last_event" => self.progress.last_event.as_deref(), "runs" => self.progress.runs,
-                "left_ms" => self.remaining_ms(), "config" => gateway.lock().config_version());
+    /// Offers a silent stream to other upstreams until one of them takes it over. The silent upstream is kept
+    /// when none does. Returns the upstream that goes on, and what it sent.
+    async fn hand_over(&mut self, silent: EventSource) -> (EventSource, Option<NextEvents>) {
+        let mut silent = silent;
+        loop {
+            let (chosen, admitted) = match self.alternative(&silent.upstream) {
+                Ok(alternative) => alternative,
+                Err(cause) => {
+                    self.log_kept(&silent.upstream, cause);
+                    return (silent, None);
+                }
+            };
+            let permit = ResumePermit::new(&self.gateway, &self.progress.need.service);
+            let opening = self.open_next(&admitted, &chosen, &permit);
+            match offer_stream(&mut silent, opening, &permit, self.remaining_ms()).await {
+                HandoverOutcome::WentOn(next) => {
+                    self.withdraw(&chosen, &permit);
+                    return (silent, Some(next));
+                }
+                HandoverOutcome::Unanswered => {
+                    self.withdraw(&chosen, &permit);
+                    self.progress.tried.push(chosen);
+                }
+                HandoverOutcome::Failed(outcome) => self.record_failed(&admitted, &chosen, &outcome),
+                HandoverOutcome::TakenOver(source, next) => {
+                    let why = silent.fault.unwrap_or(SILENT);
+                    self.release(silent, why, None);
+                    self.record_resumed(&chosen);
+                    return (*source, Some(next));
+                }
+            }
         }
-        if let Some(cause) = obstacle {
+    }
+
+    /// Another upstream that can take a silent stream over at once.
+    fn alternative(&self, silent: &UpstreamId) -> Result<(UpstreamId, AdmittedRequest), CutCause> {
+        let now = self.gateway.now();
+        if let Some(cause) = self.obstacle(now) {
             return Err(cause);
         }
+        let admitted =
+            admit(&self.gateway, &self.context).map_err(|rejection| CutCause::Rejected(rejection.kind))?;
+        let is_target =
+            admitted.route.targets.iter().any(|target| target.service == self.progress.need.service);
+        let chosen = pick_alternative(&self.gateway, &admitted, &self.progress, silent, now);
+        let chosen = chosen.filter(|_| is_target).ok_or(CutCause::NoAlternative)?;
+        if let Some(service) = admitted.config.service(&self.progress.need.service) {
+            record_send(&self.gateway, service.cold_per_s, &chosen, now);
+        }
+        Ok((chosen, admitted))
+    }
+
+    /// Sends the request to the next upstream, with the id of the last event.
+    async fn open_next(
+        &self,
+        admitted: &AdmittedRequest,
+        upstream: &UpstreamId,
+        permit: &ResumePermit,
+    ) -> Result<EventSource, SendOutcome> {
+        let (gateway, progress) = (&self.gateway, &self.progress);
+        let guard = CallGuard::new(gateway, upstream, progress.need.model.as_ref());
+        let sent_at = gateway.now();
+        let may_write = || permit.take();
+        let opened =
+            open_stream(gateway, &self.context, admitted, progress, upstream, guard, may_write).await;
+        let source = opened?;
+        if source.status.is_success() {
+            return Ok(source);
+        }
+        let first_byte_ms = gateway.now().since_ms(sent_at);
+        record_response(gateway, upstream, source.status, &source.headers, first_byte_ms);
+        let body = ResponseBody::buffered("");
+        Err(SendOutcome::Failure(caller_response(source.status, &source.headers, body)))
+    }
+
+    /// Records that an offer was withdrawn. A request that was written may have run.
+    fn withdraw(&mut self, upstream: &UpstreamId, permit: &ResumePermit) {
+        record_undecided(&self.gateway, upstream, self.gateway.now());
+        if permit.is_taken() {
+            self.progress.runs += 1;
+        }
+    }
+
+    fn record_failed(&mut self, admitted: &AdmittedRequest, upstream: &UpstreamId, outcome: &SendOutcome) {
+        record_outcome(&self.gateway, &self.context, admitted, &mut self.progress, upstream, outcome);
+    }
+
+    fn record_resumed(&mut self, upstream: &UpstreamId) {
         self.resumed = true;
+        self.progress.runs += 1;
+        self.gateway.metrics.resumes.inc();
+        if self.gateway.may_log() {
+            info!(self.gateway.logger, "stream_resumed"; "request" => %self.context.caller.attempt,
+                "upstream" => %upstream, "runs" => self.progress.runs, "left_ms" => self.remaining_ms());
+        }
+    }
+
+    fn log_kept(&self, silent: &UpstreamId, cause: CutCause) {
+        if self.gateway.may_log() {
+            info!(self.gateway.logger, "stream_kept"; "request" => %self.context.caller.attempt,
+                "upstream" => %silent, "why" => %cause, "left_ms" => self.remaining_ms());
+        }
+    }
+
+    /// Closes an upstream that no longer serves the stream. `obstacle` forbids to resume the stream.
+    fn release(&mut self, source: EventSource, why: &'static str, obstacle: Option<CutCause>) {
+        let EventSource { upstream, connection, guard, .. } = source;
+        connection.close();
+        drop(guard);
+        if let Some(known) = self.gateway.lock().upstreams.get_mut(&upstream) {
+            known.record_failure(self.gateway.now());
+        }
+        if self.gateway.may_log() {
+            warn!(self.gateway.logger, "stream_broken"; "request" => %self.context.caller.attempt,
+                "upstream" => %upstream, "why" => why, "resumes" => obstacle.is_none(),
+                "last_event" => self.progress.last_event.as_deref(), "runs" => self.progress.runs,
+                "left_ms" => self.remaining_ms(), "config" => self.gateway.lock().config_version());
+        }
+        self.progress.tried.push(upstream);
+    }
+
+    /// Resumes a broken stream at another upstream from the last event.
+    async fn resume(&mut self, source: EventSource, why: &'static str) -> Result<EventSource, CutCause> {
+        let gateway = Arc::clone(&self.gateway);
+        let obstacle = if why == SILENT { Some(CutCause::Deadline) } else { self.obstacle(gateway.now()) };
+        self.release(source, why, obstacle);
+        let mut failed = None;
         loop {
+            if let Some(cause) = obstacle.or_else(|| self.obstacle(gateway.now())) {
+                return Err(failed.unwrap_or(cause));
+            }
             let rejected = |rejection: RequestRejection| CutCause::Rejected(rejection.kind);
             let admitted = admit(&gateway, &self.context).map_err(rejected)?;
             let chosen = choose_upstream(&gateway, &self.context, admitted, &mut self.progress).await;
             let (chosen, admitted) = chosen.map_err(rejected)?;
-            let guard = CallGuard::new(&gateway, &chosen, self.progress.need.model.as_ref());
-            match open_stream(&gateway, &self.context, &admitted, &self.progress, &chosen, guard).await {
-                Ok(source) if source.status.is_success() => {
-                    gateway.metrics.resumes.inc();
-                    self.progress.runs += 1;
+            let permit = ResumePermit::new(&gateway, &self.progress.need.service);
+            let opening = self.open_next(&admitted, &chosen, &permit);
+            let opened = timeout(Duration::from_millis(self.remaining_ms()), opening).await;
+            match opened.unwrap_or(Err(SendOutcome::Lost(ErrorKind::DeadlineExceeded))) {
+                Ok(source) => {
+                    self.record_resumed(&chosen);
                     return Ok(source);
                 }
-                Err(SendOutcome::NotSent) if self.progress.unreached < 3 => {
-                    self.progress.unreached += 1;
-                    if let Some(known) = gateway.lock().upstreams.get_mut(&chosen) {
-                        known.record_unreachable(gateway.clock.now());
-                    }
+                Err(outcome) => {
+                    failed = CutCause::of_outcome(&outcome).or(failed);
+                    self.record_failed(&admitted, &chosen, &outcome);
                 }
-                Err(SendOutcome::Withheld) => {}
-                Err(SendOutcome::NotSent) => return Err(CutCause::Unreachable),
-                Err(SendOutcome::NotRun(_)) => return Err(CutCause::Refused),
-                Err(_) => return Err(CutCause::Lost),
-                Ok(_) => return Err(CutCause::Failed),
             }
         }
     }
 
-    /// Takes a retry for resuming the stream; otherwise tells what forbids it.
-    fn take_resume(&self, now: ClockTime) -> Result<(), CutCause> {
-        if !self.admitted.route.is_retryable() || self.progress.last_event.is_none() {
-            return Err(CutCause::NotResumable);
-        }
-        if self.progress.runs >= self.admitted.route.max_attempts {
-            return Err(CutCause::AttemptsUsed);
-        }
-        if now >= self.progress.limit.reject_at() {
-            return Err(CutCause::Deadline);
+    /// What forbids to send the request to another upstream.
+    fn obstacle(&self, now: ClockTime) -> Option<CutCause> {
+        let (route, progress) = (&self.admitted.route, &self.progress);
+        if !route.is_retryable() || progress.last_event.is_none() {
+            Some(CutCause::NotResumable)
+        } else if progress.runs >= route.max_attempts {
+            Some(CutCause::AttemptsUsed)
+        } else if now >= progress.limit.reject_at() {
+            Some(CutCause::Deadline)
+        } else if progress.refused > MAX_REFUSED_SENDS {
+            Some(CutCause::Refused)
+        } else if progress.unreached > MAX_UNREACHABLE {
+            Some(CutCause::Unreachable)
+        } else if !has_retry(&self.gateway, &progress.need.service, now) {
+            Some(CutCause::NoRetryLeft)
+        } else {
+            None
         }
-        let taken = may_retry(&self.gateway, &self.admitted, &self.progress, now);
-        if taken { Ok(()) } else { Err(CutCause::NoRetryLeft) }
     }
 }
