gateway: a resumed stream goes on only with its next event

Cause: `StreamRelay::resume` took any signed success. Neither its content type nor the id of its first event was looked at, and an answer that ended without an event ended the caller's stream as complete. Besides, `last_event_id` read the id of the last event only: a comment behind the last event made the stream unable to be resumed, or would have it resumed one event too early. Change: `EventCheck` in `EventSource`. An answer to a resumed request that states another content type than text/event-stream counts as garbled. Its first event (comments aside) must have the id after the caller's last one. It can't end before that: no event does not show that the caller has all of them. All else is a break, which is resumed again or cuts the caller visibly.

--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -4,16 +4,15 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use cowslip_adapter::event_id;
 use cowslip_units::{ErrorKind, UpstreamId};
 use http::StatusCode;
 use http::header::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::dispatch::{CallGuard, RequestProgress, SendOutcome};
+use crate::event_check::{EventCheck, may_hold_events};
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
     HeadCheck, check_and_record_head, fault_outcome, return_refused_connection, send_target,
@@ -38,6 +37,7 @@
     pub connection: UpstreamConnection,
     /// Bytes of an incomplete event.
     partial: BytesMut,
+    check: EventCheck,
     pub guard: CallGuard,
 }
 
@@ -63,8 +63,9 @@
         loop {
             let frame = match self.body.frame().await {
                 Some(Err(_)) => return NextEvents::Broken("broken"),
-                None if self.partial.is_empty() => return NextEvents::End,
-                None => return NextEvents::Broken("partial"),
+                None if !self.partial.is_empty() => return NextEvents::Broken("partial"),
+                None if !self.check.may_end() => return NextEvents::Broken("no event"),
+                None => return NextEvents::End,
                 Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else { continue };
@@ -75,7 +76,11 @@
                 return NextEvents::Broken("too long");
             }
             if let Some(end) = self.partial.get(scanned..).and_then(last_event_end) {
-                return NextEvents::Events(self.partial.split_to(scanned + end).freeze());
+                let events = self.partial.split_to(scanned + end).freeze();
+                if !self.check.accepts(&events) {
+                    return NextEvents::Broken("other events");
+                }
+                return NextEvents::Events(events);
             }
         }
     }
@@ -86,13 +91,6 @@
     bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
 }
 
-/// Id of the last event in a sequence of complete events.
-pub(crate) fn last_event_id(events: &[u8]) -> Option<SmolStr> {
-    let body = events.strip_suffix(b"\n\n").unwrap_or(events);
-    let start = body.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
-    event_id(body.get(start..).unwrap_or_default())
-}
-
 /// Sends the request and checks the response head.
 pub(crate) async fn open_stream(
     gateway: &Arc<Gateway>,
@@ -120,8 +118,15 @@
             connection.close();
             Err(SendOutcome::Lost(ErrorKind::UpstreamGarbled))
         }
+        HeadCheck::Valid
+            if last_event.is_some() && parts.status.is_success() && !may_hold_events(&parts.headers) =>
+        {
+            connection.close();
+            Err(SendOutcome::Lost(ErrorKind::UpstreamGarbled))
+        }
         HeadCheck::Valid => Ok(EventSource {
             upstream: upstream.clone(),
+            check: EventCheck::new(progress.last_event.clone()),
             headers: parts.headers,
             status: parts.status,
             body,
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! - process start and shutdown: [`run_gateway`]
 //! - shared state: `gateway_state`, `standalone_share`
 //! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`,
-//!   `stream_call`, `event_source`, `stream_relay`, `cut_cause`
+//!   `stream_call`, `event_source`, `event_check`, `stream_relay`, `cut_cause`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
 //! - store and other gateways: `store_watch`, `leader_exchange`, `report_builder`
@@ -14,6 +14,7 @@
 mod caller_server;
 mod cut_cause;
 mod dispatch;
+mod event_check;
 mod event_source;
 mod gateway_log;
 mod gateway_metrics;
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -10,7 +10,8 @@
 
 use crate::cut_cause::CutCause;
 use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, choose_upstream, has_alternative, may_retry};
-use crate::event_source::{EventSource, NextEvents, SILENT, last_event_id, open_stream};
+use crate::event_check::last_event_id;
+use crate::event_source::{EventSource, NextEvents, SILENT, open_stream};
 use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
 use crate::plain_call::return_connection;
