--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -16,7 +16,8 @@
     CallGuard, MAX_REFUSED_SENDS, MAX_UNREACHABLE, RequestProgress, SendOutcome, choose_upstream, has_retry,
     pick_alternative, record_outcome, record_send, record_undecided,
 };
-use crate::event_source::{EventSource, NextEvents, SILENT, last_event_id, open_stream};
+use crate::event_check::last_event_id;
+use crate::event_source::{EventSource, NextEvents, SILENT, open_stream};
 use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
 use crate::plain_call::{caller_response, record_response, return_connection};
