gateway: keep a slow idempotent call until another upstream has answered

Seen by callers: an idempotent call whose upstream needs 2 s (objective 500 ms, deadline 4 s) is answered 502, 504 or 500 although that upstream would have answered in time.

Cause: after 1.5 times the objective `plain_call` gave the call up where `has_alternative` said so, which closed its connection; only then came the retry of the budget, the check of key and route, an upstream, a connection and an answer. Each of these can fail. Where an upstream was left, the same request was begun anew at the slow one.

Change: `slow_call` keeps the call under way while the same loop (`send_until_answered`) sends the request elsewhere. The first answer counts; the other call is dropped, which closes its connection. An alternative's refusal, failure or error response leaves the first call to answer. The key and route are checked and the retry is taken before anything else is sent. Attempts are counted as before, and an upstream that is still at work on the request is not chosen again.

A slow call now holds its slot until an answer; the retry budget bounds how many do.

--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! reported that it did not run it. All other failures are answered with 502 or 504, which do not claim that
 //! the request did not run.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use cowslip_entry::{
@@ -17,11 +17,11 @@
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
-use crate::plain_call::plain_call;
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_flow::route_kind_name;
 use crate::request_rejection::RequestRejection;
 use crate::response_body::ResponseBody;
+use crate::slow_call::{CallEnd, call_or_take_over};
 use crate::stream_call::stream_call;
 
 /// Sends that upstreams refuse without running the request, on top of the attempts that the route allows.
@@ -72,7 +72,7 @@
 }
 
 /// Progress of a request over its sends.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct RequestProgress {
     /// Service, model and regions that it needs.
     pub need: RequestNeed,
@@ -80,6 +80,8 @@
     pub limit: WaitLimit,
     /// Upstreams that failed to serve it.
     pub tried: Vec<UpstreamId>,
+    /// Upstreams of slow calls for this request; each reference ends with its call.
+    pub under_way: Vec<Weak<UpstreamId>>,
     /// Sends that may have run.
     pub runs: u32,
     /// Sends refused by upstreams.
@@ -94,6 +96,13 @@
     pub last_event: Option<smol_str::SmolStr>,
 }
 
+impl RequestProgress {
+    /// True while the upstream works on this request.
+    fn is_under_way(&self, upstream: &UpstreamId) -> bool {
+        self.under_way.iter().any(|known| known.upgrade().is_some_and(|known| *known == *upstream))
+    }
+}
+
 /// Keeps a call to an upstream counted as running until dropped.
 #[derive(Debug)]
 pub(crate) struct CallGuard {
@@ -144,10 +153,11 @@
     let attempt_hash = text_hash(&context.caller.attempt);
     let service = admitted.route.target(attempt_hash).cloned();
     let service = service.ok_or(RequestRejection::new(ErrorKind::RouteNotFound))?;
-    let mut progress = RequestProgress {
+    let progress = RequestProgress {
         need: request_need(context, &admitted, service, attempt_hash),
         limit,
         tried: Vec::new(),
+        under_way: Vec::new(),
         runs: 0,
         refused: 0,
         unreached: 0,
@@ -164,14 +174,26 @@
         let members = state.member_count();
         state.retry_throttle(&progress.need.service, now).record_request(gateway.settings.retries, members);
     }
-    let mut admitted = admitted;
+    send_until_answered(gateway, context, admitted, progress).await
+}
+
+/// Chooses an upstream and sends the request, as often as needed and allowed.
+pub(crate) async fn send_until_answered(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    mut admitted: AdmittedRequest,
+    mut progress: RequestProgress,
+) -> Result<Response<ResponseBody>, RequestRejection> {
     loop {
         let (chosen, checked) = choose_upstream(gateway, context, admitted, &mut progress).await?;
         admitted = checked;
         let guard = CallGuard::new(gateway, &chosen, progress.need.model.as_ref());
         let outcome = match admitted.route.kind {
             RouteKind::Streaming => stream_call(gateway, context, &admitted, &progress, &chosen, guard).await,
-            _ => plain_call(gateway, context, &admitted, &progress, &chosen, guard).await,
+            _ => match call_or_take_over(gateway, context, &admitted, &progress, &chosen, guard).await {
+                CallEnd::Own(outcome) => outcome,
+                CallEnd::TakenOver(result) => return result,
+            },
         };
         if let Some(response) = handle_outcome(gateway, context, &admitted, &mut progress, &chosen, outcome)?
         {
@@ -227,6 +249,7 @@
         }
         let pick = gateway.lock().pick(&gateway.settings, service, &progress.need, &progress.tried, now);
         let cause = match pick {
+            UpstreamPick::Send(upstream) if progress.is_under_way(&upstream) => WaitCause::Full,
             UpstreamPick::Send(upstream) => {
                 record_send(gateway, service.cold_per_s, &upstream, now);
                 progress.waited_ms += now.since_ms(begun_at);
@@ -362,14 +385,8 @@
     outcome: SendOutcome,
 ) -> Result<Option<Response<ResponseBody>>, RequestRejection> {
     let now = gateway.now();
-    let kind = route_kind_name(admitted.route.kind);
-    let name = outcome.name();
-    gateway.metrics.sends.get_or_create(&OutcomeLabels { kind, outcome: name }).inc();
-    if !matches!(outcome, SendOutcome::Answered(_)) && gateway.may_log() {
-        warn!(gateway.logger, "send_failed"; "request" => %context.caller.attempt, "upstream" => %upstream,
-            "outcome" => name, "runs" => progress.runs, "refused" => progress.refused,
-            "after_ms" => now.since_ms(context.arrived_at));
-    }
+    log_outcome(gateway, context, admitted, progress, upstream, &outcome);
+    record_outcome(gateway, progress, upstream, &outcome);
     match outcome {
         SendOutcome::Answered(response) => {
             if gateway.may_log() {
@@ -382,25 +399,16 @@
                     "team" => admitted.team.as_ref().map(|team| team.name.to_string()),
                     "config" => admitted.config.version(), "after_ms" => now.since_ms(context.arrived_at));
             }
-            gateway.metrics.requests.get_or_create(&OutcomeLabels { kind, outcome: "answered" }).inc();
+            let labels = OutcomeLabels { kind: route_kind_name(admitted.route.kind), outcome: "answered" };
+            gateway.metrics.requests.get_or_create(&labels).inc();
             Ok(Some(response))
         }
         SendOutcome::NotSent => {
-            if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
-                known.record_unreachable(now);
-                known.breaker.undecided(now);
-            }
             progress.unreached += 1;
             if progress.unreached > MAX_UNREACHABLE { Err(final_rejection(progress)) } else { Ok(None) }
         }
-        SendOutcome::Withheld => {
-            if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
-                known.breaker.undecided(now);
-            }
-            Ok(None)
-        }
-        SendOutcome::NotRun(misplaced) => {
-            record_not_run(gateway, progress, upstream, misplaced, now);
+        SendOutcome::Withheld => Ok(None),
+        SendOutcome::NotRun(_) => {
             progress.refused += 1;
             let can_retry = progress.refused <= MAX_REFUSED_SENDS && take_retry(gateway, progress, now);
             if can_retry { Ok(None) } else { Err(final_rejection(progress)) }
@@ -415,9 +423,6 @@
         }
         SendOutcome::Lost(kind) => {
             progress.runs += 1;
-            if let Some(known) = gateway.lock().upstreams.get_mut(upstream) {
-                known.record_failure(now);
-            }
             if may_retry(gateway, admitted, progress, now) {
                 progress.tried.push(upstream.clone());
                 return Ok(None);
@@ -427,22 +432,53 @@
     }
 }
 
-fn record_not_run(
+/// Counts how a send ended, and logs it unless it was answered.
+pub(crate) fn log_outcome(
     gateway: &Gateway,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
     progress: &RequestProgress,
     upstream: &UpstreamId,
-    misplaced: bool,
-    now: ClockTime,
+    outcome: &SendOutcome,
+) {
+    let name = outcome.name();
+    let labels = OutcomeLabels { kind: route_kind_name(admitted.route.kind), outcome: name };
+    gateway.metrics.sends.get_or_create(&labels).inc();
+    if !matches!(outcome, SendOutcome::Answered(_)) && gateway.may_log() {
+        warn!(gateway.logger, "send_failed"; "request" => %context.caller.attempt, "upstream" => %upstream,
+            "outcome" => name, "runs" => progress.runs, "refused" => progress.refused,
+            "after_ms" => gateway.now().since_ms(context.arrived_at));
+    }
+}
+
+/// Records what a failed send tells about its upstream.
+pub(crate) fn record_outcome(
+    gateway: &Gateway,
+    progress: &RequestProgress,
+    upstream: &UpstreamId,
+    outcome: &SendOutcome,
 ) {
+    let now = gateway.now();
     let mut state = gateway.lock();
     let Some(known) = state.upstreams.get_mut(upstream) else { return };
-    known.breaker.undecided(now);
-    match (&progress.need.model, misplaced) {
-        (Some(need), _) => known.record_missing_model(need, now),
-        // Another upstream listens at this address.
-        (None, true) => known.record_unreachable(now),
-        // All slots are in use.
-        (None, false) => known.other_calls = known.entry.slots,
+    match outcome {
+        SendOutcome::Answered(_) | SendOutcome::Failure(_) => {}
+        SendOutcome::NotSent => {
+            known.record_unreachable(now);
+            known.breaker.undecided(now);
+        }
+        SendOutcome::Withheld => known.breaker.undecided(now),
+        SendOutcome::NotRun(misplaced) => {
+            known.breaker.undecided(now);
+            match (&progress.need.model, misplaced) {
+                (Some(need), _) => known.record_missing_model(need, now),
+                // Another upstream listens at this address.
+                (None, true) => known.record_unreachable(now),
+                // All slots are in use.
+                (None, false) => known.other_calls = known.entry.slots,
+            }
+        }
+        SendOutcome::Lost(_) => known.record_failure(now),
     }
 }
 
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - process start and shutdown: [`run_gateway`]
 //! - shared state: `gateway_state`, `standalone_share`
-//! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`,
+//! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`, `slow_call`,
 //!   `stream_call`, `event_source`, `stream_relay`, `cut_cause`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
@@ -30,6 +30,7 @@
 mod request_flow;
 mod request_rejection;
 mod response_body;
+mod slow_call;
 mod standalone_share;
 mod store_watch;
 mod stream_call;
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use cowslip_adapter::header_names::{ATTEMPT_ID, NOT_RUN, SIGNATURE};
 use cowslip_adapter::{is_forwarded_to_caller, keep_alive_s, upstream_load};
-use cowslip_entry::{RouteKind, UpstreamStart};
+use cowslip_entry::{UpstreamStart, WaitLimit};
 use cowslip_units::{ErrorKind, UpstreamId};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap};
 use http::{Response, StatusCode};
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, has_alternative};
+use crate::dispatch::{CallGuard, SendOutcome};
 use crate::gateway_state::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext, may_send};
 use crate::response_body::ResponseBody;
@@ -27,9 +27,6 @@
 /// Largest response in bytes that is buffered.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// An idempotent call is abandoned for another upstream after this multiple of its route's latency objective.
-const ABANDON_FACTOR: f64 = 1.5;
-
 /// Result of checking a response head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HeadCheck {
@@ -86,25 +83,21 @@
     check
 }
 
-/// Sends a request and reads its response.
+/// Sends a request and reads its response, until the request's deadline.
 pub(crate) async fn plain_call(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
     admitted: &AdmittedRequest,
-    progress: &RequestProgress,
+    limit: WaitLimit,
     upstream: &UpstreamId,
     guard: CallGuard,
 ) -> SendOutcome {
     let sent_at = gateway.now();
     let Some((address, start)) = send_target(gateway, upstream) else { return SendOutcome::NotSent };
-    let Ok(request) = upstream_request(context, admitted, &progress.limit, upstream, None, sent_at) else {
+    let Ok(request) = upstream_request(context, admitted, &limit, upstream, None, sent_at) else {
         return SendOutcome::NotSent;
     };
-    let end_ms = progress.limit.end_by.since_ms(sent_at);
-    let can_retry =
-        admitted.route.kind == RouteKind::Idempotent && progress.runs + 1 < admitted.route.max_attempts;
-    let abandon_after_ms = (admitted.route.objective_ms as f64 * ABANDON_FACTOR) as u64;
-    let wait_ms = if can_retry { end_ms.min(abandon_after_ms) } else { end_ms };
+    let end_ms = limit.end_by.since_ms(sent_at);
     let call = async {
         let allowed = || may_send(gateway, context, upstream, sent_at);
         let (response, connection) = gateway.pool.send(address, request, allowed).await?;
@@ -126,13 +119,12 @@
             }
         })
     };
-    let should_abandon = || has_alternative(gateway, admitted, progress, progress.runs + 1, upstream);
-    let outcome = wait_or_abandon(call, wait_ms, end_ms, should_abandon).await;
+    let outcome = timeout(Duration::from_millis(end_ms), call).await;
     drop(guard);
     match outcome {
-        Some(Ok(outcome)) => outcome,
-        Some(Err(fault)) => fault_outcome(&fault),
-        None => SendOutcome::Lost(ErrorKind::DeadlineExceeded),
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(fault)) => fault_outcome(&fault),
+        Err(_) => SendOutcome::Lost(ErrorKind::DeadlineExceeded),
     }
 }
 
--- a/crates/cowslip-gateway/src/stream_call.rs
+++ b/crates/cowslip-gateway/src/stream_call.rs
@@ -94,6 +94,7 @@
         need: progress.need.clone(),
         limit,
         tried: progress.tried.clone(),
+        under_way: Vec::new(),
         runs: progress.runs + 1,
         refused: progress.refused,
         unreached: progress.unreached,
