--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - process start and shutdown: [`run_gateway`]
 //! - shared state: `gateway_state`, `standalone_share`
-//! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`,
+//! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`, `slow_call`,
 //!   `stream_call`, `event_source`, `event_check`, `stream_relay`, `stream_handover`, `resume_permit`,
 //!   `cut_cause`
 //! - responses: `response_body`, `request_rejection`
@@ -33,6 +33,7 @@
 mod request_rejection;
 mod response_body;
 mod resume_permit;
+mod slow_call;
 mod standalone_share;
 mod store_watch;
 mod stream_call;
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -14,7 +14,7 @@
 use crate::cut_cause::CutCause;
 use crate::dispatch::{
     CallGuard, MAX_REFUSED_SENDS, MAX_UNREACHABLE, RequestProgress, SendOutcome, choose_upstream, has_retry,
-    pick_alternative, record_outcome, record_send, record_undecided,
+    log_outcome, pick_alternative, record_outcome, record_send, record_undecided,
 };
 use crate::event_check::last_event_id;
 use crate::event_source::{EventSource, NextEvents, SILENT, open_stream};
@@ -250,7 +250,9 @@
     }
 
     fn record_failed(&mut self, admitted: &AdmittedRequest, upstream: &UpstreamId, outcome: &SendOutcome) {
-        record_outcome(&self.gateway, &self.context, admitted, &mut self.progress, upstream, outcome);
+        log_outcome(&self.gateway, &self.context, admitted, &self.progress, upstream, outcome);
+        record_outcome(&self.gateway, &self.progress, upstream, outcome);
+        self.progress.count(upstream, outcome);
     }
 
     fn record_resumed(&mut self, upstream: &UpstreamId) {
