gateway: a stream without an event is not a whole answer when its connection ended it

Cause: `EventSource` took each end of a body without a partial event as the end of the stream, also where only the connection's end told it and no event had come. Evidence: a_cut_answer_is_not_taken_for_a_whole_one cuts an answer at each byte of its head and body: with a length, in chunks and without either, on fresh and kept connections, closed and reset, on four routes. Before the change 4 of 16 cases failed (/report/ and /draft/, closed, fresh and kept), each at one cut: without a length, behind the head. Ruled out, these passed before: all cuts within a head (also through `content-length: 8` of 84, no empty line came), all cuts of bodies with a length or in chunks, all resets, and all of /order/ and /lookup/. Change: such an end is a break (502, or another attempt where the route allows it). An empty answer with a length or in chunks is the upstream's whole body and passes as before.

--- a/crates/cowslip-gateway/src/event_check.rs
+++ b/crates/cowslip-gateway/src/event_check.rs
@@ -5,7 +5,9 @@
 //! the next event; anything else, such as an error page, would become a part of the caller's stream.
 
 use cowslip_adapter::event_id;
-use http::header::{CONTENT_TYPE, HeaderMap};
+use http::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
+use http_body::Body;
+use hyper::body::Incoming;
 use smol_str::SmolStr;
 
 /// Media type of a stream of events.
@@ -18,12 +20,15 @@
     after: Option<SmolStr>,
     /// True once an event was read; comments are none.
     has_begun: bool,
+    /// True when the body tells its own end. Otherwise it ends with its connection.
+    is_framed: bool,
 }
 
 impl EventCheck {
     /// A check of an answer, which resumes a stream after the event `after` if that is given.
-    pub(crate) const fn new(after: Option<SmolStr>) -> Self {
-        Self { after, has_begun: false }
+    pub(crate) fn new(headers: &HeaderMap, body: &Incoming, after: Option<SmolStr>) -> Self {
+        let is_framed = body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked(headers);
+        Self { after, has_begun: false, is_framed }
     }
 
     /// True when complete events may be relayed: a resumed stream goes on with the next event.
@@ -37,9 +42,10 @@
     }
 
     /// True when an answer that ends here can be the whole stream. A resumed stream without an event does not
-    /// show that the caller has all of them.
+    /// show that the caller has all of them, and neither does a body without a length whose connection ended
+    /// before the first event.
     pub(crate) const fn may_end(&self) -> bool {
-        self.has_begun || self.after.is_none()
+        self.has_begun || (self.is_framed && self.after.is_none())
     }
 }
 
@@ -85,3 +91,9 @@
     let id = event_id(event).and_then(|id| id.parse::<u64>().ok());
     next.is_some() && id == next
 }
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let coding = last.and_then(|value| value.to_str().ok()).and_then(|text| text.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -126,7 +126,7 @@
         }
         HeadCheck::Valid => Ok(EventSource {
             upstream: upstream.clone(),
-            check: EventCheck::new(progress.last_event.clone()),
+            check: EventCheck::new(&parts.headers, &body, progress.last_event.clone()),
             headers: parts.headers,
             status: parts.status,
             body,
