gateway: a comment does not take a silent stream over

What callers saw: a silent stream was given up for an upstream that sent a comment and no event. Found in review.

--- a/crates/cowslip-gateway/src/stream_handover.rs
+++ b/crates/cowslip-gateway/src/stream_handover.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::dispatch::SendOutcome;
+use crate::event_check::last_event_id;
 use crate::event_source::{EventSource, NextEvents, SILENT};
 use crate::resume_permit::ResumePermit;
 
@@ -68,10 +69,12 @@
                 NextEvents::Broken(why) if why != SILENT => is_alive = false,
                 next => return HandoverOutcome::WentOn(next),
             },
-            first = other.next(left_ms) => return match first {
-                NextEvents::Events(_) => HandoverOutcome::TakenOver(Box::new(other), first),
+            first = other.next(left_ms) => match first {
+                // A comment does not show that the upstream works on the request.
+                NextEvents::Events(events) if last_event_id(&events).is_none() => {}
+                NextEvents::Events(_) => return HandoverOutcome::TakenOver(Box::new(other), first),
                 NextEvents::End | NextEvents::Broken(_) => {
-                    HandoverOutcome::Failed(SendOutcome::Lost(ErrorKind::UpstreamFailed))
+                    return HandoverOutcome::Failed(SendOutcome::Lost(ErrorKind::UpstreamFailed));
                 }
             },
             () = &mut overlap, if is_alive => return HandoverOutcome::Unanswered,
