gateway: one offer of a silent stream at a time, and no second engine for a slow call

Found by a reviewer that had not seen the work, by reading: an offer that was not answered or was refused was followed by the next one at once, which adds to the time at two upstreams and uses up the retries that a broken stream needs; a source that sent other events stayed open beside the next one; an upstream that took a stream over left its circuit breaker half open; a slow idempotent call for a model would have run at two engines without a bound. Change: one offer for each silence, except where nothing was sent; a faulty source is closed; each response head is recorded; no second engine. No test that fails before was written for these.

--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -68,6 +68,8 @@
         let next = self.read_body().await;
         if let NextEvents::Broken(fault) = next {
             self.fault = Some(fault);
+            // The upstream may still be at work.
+            self.connection.abort();
         }
         next
     }
--- a/crates/cowslip-gateway/src/slow_call.rs
+++ b/crates/cowslip-gateway/src/slow_call.rs
@@ -49,7 +49,8 @@
     guard: CallGuard,
 ) -> CallEnd {
     let mut call = pin!(plain_call(gateway, context, admitted, progress.limit, upstream, guard));
-    if admitted.route.kind != RouteKind::Idempotent {
+    // An engine's request may be at two upstreams only briefly.
+    if admitted.route.kind != RouteKind::Idempotent || progress.need.model.is_some() {
         return CallEnd::Own(call.await);
     }
     let slow_ms = (admitted.route.objective_ms as f64 * SLOW_FACTOR) as u64;
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -185,11 +185,19 @@
                     self.withdraw(&chosen, &permit);
                     return (silent, Some(next));
                 }
+                // One offer for each silence, so that no second one adds to the time at two upstreams.
                 HandoverOutcome::Unanswered => {
                     self.withdraw(&chosen, &permit);
                     self.progress.tried.push(chosen);
+                    return (silent, None);
+                }
+                HandoverOutcome::Failed(outcome) => {
+                    self.record_failed(&admitted, &chosen, &outcome);
+                    if matches!(outcome, SendOutcome::NotRun(_)) {
+                        // Further refusals would use up what a broken stream needs.
+                        return (silent, None);
+                    }
                 }
-                HandoverOutcome::Failed(outcome) => self.record_failed(&admitted, &chosen, &outcome),
                 HandoverOutcome::TakenOver(source, next) => {
                     let why = silent.fault.unwrap_or(SILENT);
                     self.release(silent, why, None);
@@ -232,11 +240,11 @@
         let opened =
             open_stream(gateway, &self.context, admitted, progress, upstream, guard, may_write).await;
         let source = opened?;
+        let first_byte_ms = gateway.now().since_ms(sent_at);
+        record_response(gateway, upstream, source.status, &source.headers, first_byte_ms);
         if source.status.is_success() {
             return Ok(source);
         }
-        let first_byte_ms = gateway.now().since_ms(sent_at);
-        record_response(gateway, upstream, source.status, &source.headers, first_byte_ms);
         let body = ResponseBody::buffered("");
         Err(SendOutcome::Failure(caller_response(source.status, &source.headers, body)))
     }
--- a/crates/cowslip-gateway/src/upstream_pool.rs
+++ b/crates/cowslip-gateway/src/upstream_pool.rs
@@ -254,6 +254,11 @@
         });
     }
 
+    /// Closes the connection at once; it cannot be used any more.
+    pub(crate) fn abort(&self) {
+        self.task.0.abort();
+    }
+
     /// Closes the connection at once.
     pub(crate) fn close(self) {
         drop(self.task);
