--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -11,13 +11,14 @@
     ModelNeed, RequestNeed, RouteKind, ServiceRule, UpstreamPick, WaitCause, WaitLimit, jittered_ms,
     text_hash,
 };
-use cowslip_units::{ClockTime, ErrorKind, ServiceId, UpstreamId};
+use cowslip_units::{ClockTime, ErrorKind, PartId, ServiceId, UpstreamId};
 use http::{Response, StatusCode};
 use slog::{info, warn};
 use tokio::time::timeout;
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
+use crate::plain_call::send_target;
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_flow::route_kind_name;
 use crate::request_rejection::RequestRejection;
@@ -54,7 +55,9 @@
     /// The upstream reported that it did not run the request; true when it lacks the model or is another
     /// upstream.
     NotRun(bool),
-    /// No response; the request may have run.
+    /// The upstream broke the connection before the response; the request may have run.
+    Broken,
+    /// No valid response in time; the request may have run.
     Lost(ErrorKind),
 }
 
@@ -67,6 +70,7 @@
             Self::Withheld => "withheld",
             Self::NotRun(true) => "misplaced",
             Self::NotRun(false) => "not_run",
+            Self::Broken => "broken",
             Self::Lost(_) => "lost",
         }
     }
@@ -104,7 +108,7 @@
             SendOutcome::Answered(_) | SendOutcome::Withheld => {}
             SendOutcome::NotSent => self.unreached += 1,
             SendOutcome::NotRun(_) => self.refused += 1,
-            SendOutcome::Failure(_) | SendOutcome::Lost(_) => {
+            SendOutcome::Failure(_) | SendOutcome::Broken | SendOutcome::Lost(_) => {
                 self.runs += 1;
                 self.tried.push(upstream.clone());
             }
@@ -209,6 +213,9 @@
                 CallEnd::TakenOver(result) => return result,
             },
         };
+        if matches!(outcome, SendOutcome::Broken) {
+            log_end(gateway, context, &chosen).await;
+        }
         if let Some(response) = handle_outcome(gateway, context, &admitted, &mut progress, &chosen, outcome)?
         {
             return Ok(response);
@@ -424,6 +431,10 @@
             let can_retry = may_retry(gateway, admitted, progress, now);
             Ok((!can_retry).then_some(response))
         }
+        SendOutcome::Broken => {
+            let can_retry = may_retry(gateway, admitted, progress, now);
+            if can_retry { Ok(None) } else { Err(RequestRejection::new(ErrorKind::UpstreamFailed)) }
+        }
         SendOutcome::Lost(kind) => {
             let can_retry = may_retry(gateway, admitted, progress, now);
             if can_retry { Ok(None) } else { Err(RequestRejection::new(kind)) }
@@ -431,6 +442,16 @@
     }
 }
 
+/// Logs whether the upstream of a broken connection has ended, as far as an attempt to connect tells.
+async fn log_end(gateway: &Gateway, context: &RequestContext, upstream: &UpstreamId) {
+    let Some((address, start)) = send_target(gateway, upstream) else { return };
+    let refuses = gateway.pool.refuses_connections(address).await;
+    if gateway.may_log() {
+        info!(gateway.logger, "upstream_checked"; "request" => %context.caller.attempt, "upstream" => %upstream,
+            "born" => start.born, "ended" => refuses, "parts" => %parts_text(&context.caller.parts));
+    }
+}
+
 fn log_answer(
     gateway: &Gateway,
     context: &RequestContext,
@@ -445,6 +466,7 @@
     info!(gateway.logger, "request_answered"; "request" => %context.caller.attempt,
         "upstream" => %upstream, "status" => status.as_u16(),
         "route" => %admitted.route.name, "objective_ms" => admitted.route.objective_ms,
+        "parts" => %parts_text(&context.caller.parts),
         "model" => progress.need.model.as_ref().map(|need| need.model.to_string()),
         "adapter" => progress.need.model.as_ref().and_then(|need| need.adapter.as_deref()),
         "waited_ms" => progress.waited_ms, "cause" => progress.cause.map(|cause| format!("{cause:?}")),
@@ -453,6 +475,11 @@
         "after_ms" => gateway.now().since_ms(context.arrived_at));
 }
 
+/// Prompt parts as one text for logs.
+fn parts_text(parts: &[PartId]) -> String {
+    parts.iter().map(PartId::as_str).collect::<Vec<_>>().join(" ")
+}
+
 /// Counts how a send ended, and logs it unless it was answered.
 pub(crate) fn log_outcome(
     gateway: &Gateway,
@@ -467,7 +494,7 @@
     gateway.metrics.sends.get_or_create(&labels).inc();
     if !matches!(outcome, SendOutcome::Answered(_)) && gateway.may_log() {
         warn!(gateway.logger, "send_failed"; "request" => %context.caller.attempt, "upstream" => %upstream,
-            "outcome" => name, "runs" => progress.runs, "refused" => progress.refused,
+            "outcome" => name, "parts" => %parts_text(&context.caller.parts), "runs" => progress.runs, "refused" => progress.refused,
             "after_ms" => gateway.now().since_ms(context.arrived_at));
     }
 }
@@ -499,7 +526,7 @@
                 (None, false) => known.other_calls = known.entry.slots,
             }
         }
-        SendOutcome::Lost(_) => known.record_failure(now),
+        SendOutcome::Broken | SendOutcome::Lost(_) => known.record_failure(now),
     }
 }
 
--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -27,6 +27,15 @@
 /// Reason logged for a source that sent nothing for too long.
 pub(crate) const SILENT: &str = "silent";
 
+/// Reasons logged for a stream whose connection ended too early: with an error, inside an event, before the
+/// first event.
+const BROKEN_OFF: [&str; 3] = ["broken", "partial", "no event"];
+
+/// True when a stream broke because its connection ended.
+pub(crate) fn is_broken_off(why: &str) -> bool {
+    BROKEN_OFF.contains(&why)
+}
+
 /// An event stream from one upstream.
 #[derive(Debug)]
 pub(crate) struct EventSource {
@@ -77,9 +86,9 @@
     async fn read_body(&mut self) -> NextEvents {
         loop {
             let frame = match self.body.frame().await {
-                Some(Err(_)) => return NextEvents::Broken("broken"),
-                None if !self.partial.is_empty() => return NextEvents::Broken("partial"),
-                None if !self.check.may_end() => return NextEvents::Broken("no event"),
+                Some(Err(_)) => return NextEvents::Broken(BROKEN_OFF[0]),
+                None if !self.partial.is_empty() => return NextEvents::Broken(BROKEN_OFF[1]),
+                None if !self.check.may_end() => return NextEvents::Broken(BROKEN_OFF[2]),
                 None => return NextEvents::End,
                 Some(Ok(frame)) => frame,
             };
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -151,7 +151,7 @@
     match fault {
         SendFault::NotSent(_) => SendOutcome::NotSent,
         SendFault::Withheld => SendOutcome::Withheld,
-        SendFault::Broken(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
+        SendFault::Broken(_) => SendOutcome::Broken,
     }
 }
 
--- a/crates/cowslip-gateway/src/slow_call.rs
+++ b/crates/cowslip-gateway/src/slow_call.rs
@@ -143,7 +143,7 @@
     fn record_failed(&self, outcome: SendOutcome) -> Option<Response<ResponseBody>> {
         log_outcome(self.gateway, self.context, self.admitted, self.progress, &self.under_way, &outcome);
         // A call that was slow has been recorded as failed already.
-        if !matches!(outcome, SendOutcome::Lost(_)) {
+        if !matches!(outcome, SendOutcome::Broken | SendOutcome::Lost(_)) {
             record_outcome(self.gateway, self.progress, &self.under_way, &outcome);
         }
         match outcome {
--- a/crates/cowslip-gateway/src/stream_call.rs
+++ b/crates/cowslip-gateway/src/stream_call.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, has_alternative};
-use crate::event_source::{EventSource, NextEvents, open_stream};
+use crate::event_source::{EventSource, NextEvents, is_broken_off, open_stream};
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
     caller_response, read_full_body, record_response, return_connection, wait_or_abandon,
@@ -82,6 +82,7 @@
             return_connection(gateway, source.connection, &source.headers);
             SendOutcome::Answered(response)
         }
+        NextEvents::Broken(why) if is_broken_off(why) => SendOutcome::Broken,
         NextEvents::Broken(_) => SendOutcome::Lost(ErrorKind::UpstreamFailed),
     }
 }
--- a/crates/cowslip-units/src/lib.rs
+++ b/crates/cowslip-units/src/lib.rs
@@ -31,8 +31,8 @@
 pub use run_state::RunState;
 pub use store_era::StoreEra;
 pub use text_id::{
-    AttemptId, ChangeId, DomainId, IncarnationId, ModelId, OrderId, ReportId, RequestId, RouteId, ServiceId,
-    TeamId, UpstreamId, VmId,
+    AttemptId, ChangeId, DomainId, IncarnationId, ModelId, OrderId, PartId, ReportId, RequestId, RouteId,
+    ServiceId, TeamId, UpstreamId, VmId,
 };
 pub use token_count::TokenCount;
 pub use token_rate::TokenRate;
--- a/crates/cowslip-units/src/text_id.rs
+++ b/crates/cowslip-units/src/text_id.rs
@@ -94,6 +94,11 @@
     UpstreamId,
     "upstream"
 );
+text_id!(
+    /// A part of a prompt, which requests may share.
+    PartId,
+    "prompt part"
+);
 text_id!(
     /// A service: a group of upstreams that serve the same requests.
     ServiceId,
