gateway: dispatch.rs split by job

The choice of an upstream (upstream_choice.rs), the decision to send again (retry_choice.rs), the outcome (send_outcome.rs), the progress over sends (request_progress.rs), the count of calls (call_guard.rs) and the records of outcomes (outcome_record.rs) are files of their own. Moves only; final_rejection is RequestProgress::rejection.

--- a/crates/cowslip-gateway/src/cut_cause.rs
+++ b/crates/cowslip-gateway/src/cut_cause.rs
@@ -5,7 +5,7 @@
 
 use cowslip_units::ErrorKind;
 
-use crate::dispatch::SendOutcome;
+use crate::send_outcome::SendOutcome;
 
 /// Why a stream was cut, or not handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -11,13 +11,15 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::dispatch::{CallGuard, RequestProgress, SendOutcome};
+use crate::call_guard::CallGuard;
 use crate::event_check::{EventCheck, may_hold_events};
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
     HeadCheck, check_and_record_head, fault_outcome, return_refused_connection, send_target,
 };
 use crate::request_context::{AdmittedRequest, RequestContext, may_send};
+use crate::request_progress::RequestProgress;
+use crate::send_outcome::SendOutcome;
 use crate::upstream_pool::UpstreamConnection;
 use crate::upstream_request::upstream_request;
 
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! - process start and shutdown: [`run_gateway`]
 //! - shared state: `gateway_state`, `standalone_share`
-//! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `plain_call`, `slow_call`,
+//! - request path: `caller_server`, `request_flow`, `request_context`, `dispatch`, `request_progress`,
+//!   `upstream_choice`, `retry_choice`, `send_outcome`, `outcome_record`, `call_guard`, `plain_call`, `slow_call`,
 //!   `stream_call`, `event_source`, `event_check`, `stream_relay`, `stream_handover`, `resume_permit`,
 //!   `cut_cause`
 //! - responses: `response_body`, `request_rejection`
@@ -12,6 +13,7 @@
 //! - leader role: `lease_task`, `leader_state`, `plan_task`
 //! - logs and metrics: `gateway_log`, `gateway_metrics`
 
+mod call_guard;
 mod caller_server;
 mod cut_cause;
 mod dispatch;
@@ -25,20 +27,25 @@
 mod leader_exchange;
 mod leader_state;
 mod lease_task;
+mod outcome_record;
 mod plain_call;
 mod plan_task;
 mod report_builder;
 mod request_context;
 mod request_flow;
+mod request_progress;
 mod request_rejection;
 mod response_body;
 mod resume_permit;
+mod retry_choice;
+mod send_outcome;
 mod slow_call;
 mod standalone_share;
 mod store_watch;
 mod stream_call;
 mod stream_handover;
 mod stream_relay;
+mod upstream_choice;
 mod upstream_notice;
 mod upstream_pool;
 mod upstream_request;
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -16,10 +16,11 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::dispatch::{CallGuard, SendOutcome};
+use crate::call_guard::CallGuard;
 use crate::gateway_state::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext, may_send};
 use crate::response_body::ResponseBody;
+use crate::send_outcome::SendOutcome;
 use crate::upstream_notice::record_notice;
 use crate::upstream_pool::{SendFault, UpstreamConnection};
 use crate::upstream_request::upstream_request;
--- a/crates/cowslip-gateway/src/resume_permit.rs
+++ b/crates/cowslip-gateway/src/resume_permit.rs
@@ -6,8 +6,8 @@
 use cowslip_units::ServiceId;
 use tokio::sync::Notify;
 
-use crate::dispatch::take_retry;
 use crate::gateway_state::Gateway;
+use crate::retry_choice::take_retry;
 
 /// Permission to resume a stream, which takes one retry from the budget when it is used.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/cowslip-gateway/src/send_outcome.rs
@@ -0,0 +1,42 @@
+//! How a send to an upstream ended.
+
+use cowslip_units::ErrorKind;
+use http::Response;
+
+use crate::response_body::ResponseBody;
+
+/// How a send ended.
+#[derive(Debug)]
+pub(crate) enum SendOutcome {
+    /// Response for the caller.
+    Answered(Response<ResponseBody>),
+    /// Error response of the upstream, forwarded unless the request can be retried.
+    Failure(Response<ResponseBody>),
+    /// Nothing was written.
+    NotSent,
+    /// Nothing was written, because the request was no longer allowed when its connection was ready.
+    Withheld,
+    /// The upstream reported that it did not run the request; true when it lacks the model or is another
+    /// upstream.
+    NotRun(bool),
+    /// The upstream broke the connection before the response; the request may have run.
+    Broken,
+    /// No valid response in time; the request may have run.
+    Lost(ErrorKind),
+}
+
+impl SendOutcome {
+    /// Name in logs and metrics.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Failure(_) => "failure",
+            Self::NotSent => "not_sent",
+            Self::Withheld => "withheld",
+            Self::NotRun(true) => "misplaced",
+            Self::NotRun(false) => "not_run",
+            Self::Broken => "broken",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
--- a/crates/cowslip-gateway/src/slow_call.rs
+++ b/crates/cowslip-gateway/src/slow_call.rs
@@ -12,17 +12,19 @@
 use slog::info;
 use tokio::time::timeout;
 
-use crate::dispatch::{
-    CallGuard, RequestProgress, SendOutcome, has_alternative, log_outcome, may_retry, record_outcome,
-    send_until_answered,
-};
+use crate::call_guard::CallGuard;
+use crate::dispatch::send_until_answered;
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
+use crate::outcome_record::{log_outcome, record_outcome};
 use crate::plain_call::plain_call;
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_flow::route_kind_name;
+use crate::request_progress::RequestProgress;
 use crate::request_rejection::RequestRejection;
 use crate::response_body::ResponseBody;
+use crate::retry_choice::{has_alternative, may_retry};
+use crate::send_outcome::SendOutcome;
 
 /// An idempotent call is slow after this multiple of its route's latency objective.
 const SLOW_FACTOR: f64 = 1.5;
--- a/crates/cowslip-gateway/src/stream_call.rs
+++ b/crates/cowslip-gateway/src/stream_call.rs
@@ -8,14 +8,17 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::dispatch::{CallGuard, RequestProgress, SendOutcome, has_alternative};
+use crate::call_guard::CallGuard;
 use crate::event_source::{EventSource, NextEvents, is_broken_off, open_stream};
 use crate::gateway_state::Gateway;
 use crate::plain_call::{
     caller_response, read_full_body, record_response, return_connection, wait_or_abandon,
 };
 use crate::request_context::{AdmittedRequest, RequestContext};
+use crate::request_progress::RequestProgress;
 use crate::response_body::ResponseBody;
+use crate::retry_choice::has_alternative;
+use crate::send_outcome::SendOutcome;
 use crate::stream_relay::StreamRelay;
 
 /// Chunks buffered for a slow caller.
--- a/crates/cowslip-gateway/src/stream_handover.rs
+++ b/crates/cowslip-gateway/src/stream_handover.rs
@@ -10,10 +10,10 @@
 use cowslip_units::ErrorKind;
 use tokio::time::sleep;
 
-use crate::dispatch::SendOutcome;
 use crate::event_check::last_event_id;
 use crate::event_source::{EventSource, NextEvents, SILENT};
 use crate::resume_permit::ResumePermit;
+use crate::send_outcome::SendOutcome;
 
 /// Time in ms for which two upstreams may hold a request. The platform allows 400 ms, within which the close
 /// of a connection must also reach the upstream.
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -11,21 +11,24 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
+use crate::call_guard::CallGuard;
 use crate::cut_cause::CutCause;
-use crate::dispatch::{
-    CallGuard, MAX_REFUSED_SENDS, MAX_UNREACHABLE, RequestProgress, SendOutcome, choose_upstream, has_retry,
-    log_outcome, pick_alternative, record_outcome, record_send, record_undecided,
-};
+use crate::dispatch::{MAX_REFUSED_SENDS, MAX_UNREACHABLE};
 use crate::event_check::last_event_id;
 use crate::event_source::{EventSource, NextEvents, SILENT, open_stream};
 use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
+use crate::outcome_record::{log_outcome, record_outcome, record_undecided};
 use crate::plain_call::{caller_response, record_response, return_connection};
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
+use crate::request_progress::RequestProgress;
 use crate::request_rejection::RequestRejection;
 use crate::response_body::{ResponseAborted, ResponseBody};
 use crate::resume_permit::ResumePermit;
+use crate::retry_choice::{has_retry, pick_alternative};
+use crate::send_outcome::SendOutcome;
 use crate::stream_handover::{HandoverOutcome, offer_stream};
+use crate::upstream_choice::{choose_upstream, record_send};
 
 /// Silence in ms after which a stream is offered to another upstream, where that is allowed.
 const STALL_TIMEOUT_MS: u64 = 1_200;
--- /dev/null
+++ b/crates/cowslip-gateway/src/upstream_choice.rs
@@ -0,0 +1,188 @@
+//! Waits until an upstream can take a request, and rejects a request that would wait too long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslip_entry::{ModelNeed, RequestNeed, ServiceRule, UpstreamPick, WaitCause, jittered_ms, text_hash};
+use cowslip_units::{ClockTime, ErrorKind, ModelId, UpstreamId};
+use slog::info;
+use tokio::time::timeout;
+
+use crate::gateway_state::Gateway;
+use crate::request_context::{AdmittedRequest, RequestContext, admit};
+use crate::request_progress::RequestProgress;
+use crate::request_rejection::RequestRejection;
+
+/// Longest pause in ms between two attempts to pick an upstream.
+const POLL_MS: u64 = 150;
+
+/// Time in ms that a request waits while no upstream of its service is known.
+const NO_UPSTREAM_TIMEOUT_MS: u64 = 1_500;
+
+/// Assumed time in ms of a load that the leader has not started.
+const DEFAULT_LOAD_MS: u64 = 1_000;
+
+/// Keeps a request in the list of waiting requests until dropped.
+struct WaitTicket {
+    gateway: Arc<Gateway>,
+    ticket: u64,
+}
+
+impl Drop for WaitTicket {
+    fn drop(&mut self) {
+        self.gateway.lock().end_wait(self.ticket);
+    }
+}
+
+/// True when the service's configuration does not have the model of a request.
+pub(crate) fn is_unknown_model(service: &ServiceRule, need: &RequestNeed) -> bool {
+    match (&need.model, &service.engine) {
+        (Some(need), Some(engine)) => engine.model(&need.model).is_none(),
+        _ => false,
+    }
+}
+
+/// Waits until an upstream can take the request.
+pub(crate) async fn choose_upstream(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    mut admitted: AdmittedRequest,
+    progress: &mut RequestProgress,
+) -> Result<(UpstreamId, AdmittedRequest), RequestRejection> {
+    let begun_at = gateway.now();
+    let mut ticket: Option<WaitTicket> = None;
+    loop {
+        let notified = gateway.state_changed.notified();
+        let now = gateway.now();
+        let allowed = admitted.route.targets.iter().any(|target| target.service == progress.need.service);
+        if !allowed && let Some(service) = admitted.route.target(text_hash(&context.caller.attempt)) {
+            // The route was changed to another service while the request waited.
+            progress.need.service = service.clone();
+        }
+        let Some(service) = admitted.config.service(&progress.need.service) else {
+            return Err(RequestRejection::new(ErrorKind::NoCapacity));
+        };
+        if is_unknown_model(service, &progress.need) {
+            return Err(RequestRejection::new(ErrorKind::ModelNotFound));
+        }
+        let pick = gateway.lock().pick(&gateway.settings, service, &progress.need, &progress.tried, now);
+        let cause = match pick {
+            UpstreamPick::Send(upstream) if progress.is_under_way(&upstream) => WaitCause::Full,
+            UpstreamPick::Send(upstream) => {
+                record_send(gateway, service.cold_per_s, &upstream, now);
+                progress.waited_ms += now.since_ms(begun_at);
+                gateway.metrics.wait_s.observe(now.since_ms(begun_at) as f64 / 1_000.0);
+                return Ok((upstream, admitted));
+            }
+            UpstreamPick::Wait(cause) => cause,
+        };
+        if cause == WaitCause::Unproven {
+            gateway.watch_now.notify_waiters();
+        }
+        progress.cause = Some(cause);
+        let waiting = ticket.get_or_insert_with(|| register_wait(gateway, progress, &admitted, now));
+        if let Some(wait_ms) = excessive_wait_ms(gateway, progress, waiting.ticket, cause, begun_at, now) {
+            let retry_ms = progress.limit.retry_after_ms(wait_ms, now);
+            if gateway.may_log() {
+                info!(gateway.logger, "wait_rejected"; "request" => %context.caller.attempt,
+                    "route" => %admitted.route.name, "objective_ms" => admitted.route.objective_ms,
+                    "cause" => format!("{cause:?}"), "waited_ms" => now.since_ms(begun_at),
+                    "model" => progress.need.model.as_ref().map(|need| need.model.to_string()),
+                    "expected_ms" => wait_ms, "runs" => progress.runs);
+            }
+            return Err(progress.rejection().with_retry_after(retry_ms));
+        }
+        if is_stopping_soon(gateway, now) {
+            return Err(if progress.runs > 0 {
+                progress.rejection()
+            } else {
+                RequestRejection::new(ErrorKind::Draining)
+            });
+        }
+        let poll_ms = match cause {
+            WaitCause::Cold(wait_ms) | WaitCause::Away(wait_ms) => wait_ms.clamp(1, POLL_MS),
+            WaitCause::NoModel | WaitCause::NoAdapter => {
+                let next = gateway.lock().upstreams.next_place_ms(&progress.need, now);
+                next.map_or(POLL_MS, |wait_ms| wait_ms.clamp(1, POLL_MS))
+            }
+            _ => POLL_MS,
+        };
+        // A missed wake-up only delays the next check.
+        let _ = timeout(Duration::from_millis(poll_ms), notified).await;
+        admitted = recheck_admission(gateway, context, progress)?;
+    }
+}
+
+/// Checks a request against the current view again, after a wait or a send.
+pub(crate) fn recheck_admission(
+    gateway: &Gateway,
+    context: &RequestContext,
+    progress: &RequestProgress,
+) -> Result<AdmittedRequest, RequestRejection> {
+    admit(gateway, context)
+        .map_err(|rejection| if progress.runs > 0 { progress.rejection() } else { rejection })
+}
+
+fn register_wait(
+    gateway: &Arc<Gateway>,
+    progress: &RequestProgress,
+    admitted: &AdmittedRequest,
+    now: ClockTime,
+) -> WaitTicket {
+    let need = progress.need.model.clone();
+    let need = need.unwrap_or_else(|| ModelNeed { model: ModelId::default(), adapter: None });
+    let ticket = gateway.lock().register_wait(need, admitted.priority(), now);
+    WaitTicket { gateway: Arc::clone(gateway), ticket }
+}
+
+/// Expected wait in ms when it is too long for the request; `None` when the request may keep waiting.
+fn excessive_wait_ms(
+    gateway: &Gateway,
+    progress: &RequestProgress,
+    ticket: u64,
+    cause: WaitCause,
+    begun_at: ClockTime,
+    now: ClockTime,
+) -> Option<u64> {
+    let mut state = gateway.lock();
+    // More replicas help when no upstream holds the model, or when those that do are full or paused.
+    let placement =
+        matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter | WaitCause::Away(_) | WaitCause::Full);
+    let unplaced = placement && progress.need.model.is_some();
+    if state.set_unplaced(ticket, unplaced) {
+        gateway.report_now.notify_one();
+    }
+    let load_eta_ms =
+        progress.need.model.as_ref().and_then(|need| state.load_eta_ms(&need.model, false, now));
+    drop(state);
+    let wait_ms = match cause {
+        WaitCause::NoModel => load_eta_ms.unwrap_or(0),
+        WaitCause::Cold(wait_ms) => wait_ms,
+        // Spread over time, so that all callers waiting here and elsewhere do not retry at once.
+        WaitCause::Away(wait_ms) => jittered_ms(wait_ms, ticket),
+        _ => 0,
+    };
+    if progress.limit.is_too_late(wait_ms, now) || now >= progress.limit.reject_at() {
+        return Some(if wait_ms == 0 { DEFAULT_LOAD_MS } else { wait_ms });
+    }
+    let no_upstream = cause == WaitCause::NoUpstream && now.since_ms(begun_at) >= NO_UPSTREAM_TIMEOUT_MS;
+    no_upstream.then_some(DEFAULT_LOAD_MS)
+}
+
+/// True when the process exits too soon to answer a request that still waits.
+fn is_stopping_soon(gateway: &Gateway, now: ClockTime) -> bool {
+    let stopping_at = gateway.lock().stopping_at;
+    stopping_at.is_some_and(|at| now.since_ms(at) >= gateway.settings.grace_ms / 2)
+}
+
+/// Records a send, and counts it against the slow-start limit of an upstream that is warming up.
+pub(crate) fn record_send(gateway: &Gateway, cold_per_s: f64, upstream: &UpstreamId, now: ClockTime) {
+    let mut state = gateway.lock();
+    let members = state.members.len().max(1);
+    if let Some(known) = state.upstreams.get_mut(upstream) {
+        known.breaker.sent(now);
+        if known.is_warming_up(now) {
+            known.slow_start_gate.record_send(gateway.settings.slow_start_limit, cold_per_s, members, now);
+        }
+    }
+}
