--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //!   [`UpstreamFreshness`]
 //! - limits that all gateways keep together: [`TokenQuota`] and [`QuotaAllocator`], [`SlowStartGate`],
 //!   [`RetryThrottle`]
+//! - prompt parts that end upstreams: [`CrashLog`], [`PartQuarantine`]
 //! - how long a request may wait: [`WaitLimit`]
 //! - model placement by the leader: [`DemandTable`], [`LoadPlanner`]
 //! - messages between gateways: [`GatewayReport`], [`LeaderAnswer`], [`LeaderHandover`]
@@ -12,11 +13,15 @@
 mod adapter_plan;
 mod caller_limits;
 mod change_log;
+mod crash_log;
+mod crash_messages;
+mod crash_record;
 mod engine_order;
 mod era_tracker;
 mod fleet_config;
 mod fleet_messages;
 mod grant_window;
+mod held_part;
 mod known_upstream;
 mod leader_handover;
 mod leader_updates;
@@ -26,6 +31,10 @@
 mod model_demand;
 mod notice_table;
 mod operator_view;
+mod part_begins;
+mod part_history;
+mod part_quarantine;
+mod part_verdict;
 mod planned_engine;
 mod process_delay;
 mod quota_allocator;
@@ -42,6 +51,7 @@
 mod team_rule;
 mod token_quota;
 mod token_wait;
+mod trial_table;
 mod upstream_entry;
 mod upstream_freshness;
 mod upstream_registry;
@@ -50,6 +60,9 @@
 pub use adapter_plan::adapters_of;
 pub use caller_limits::CallerLimits;
 pub use change_log::ChangeLog;
+pub use crash_log::{CrashLog, FleetMembers};
+pub use crash_messages::{CrashLine, CrashLogCopy};
+pub use crash_record::CrashRecord;
 pub use engine_order::{EngineAction, EngineOrder, EngineStatus, OrderAnswer, PlanStep};
 pub use era_tracker::{EraFault, EraTracker};
 pub use fleet_config::FleetConfig;
@@ -59,6 +72,7 @@
     last_renewal,
 };
 pub use grant_window::GrantWindow;
+pub use held_part::HeldPart;
 pub use known_upstream::KnownUpstream;
 pub use leader_handover::{LeaderHandover, ModelRate, OrderAge, ReceivedHandover, WindowCopy};
 pub use leader_updates::{LeaderUpdates, UpdateBatch};
@@ -67,6 +81,10 @@
 pub use model_demand::{AdapterDemand, DemandTable, ModelDemand};
 pub use notice_table::{AnswerNotice, NoticeTable, UpstreamStart, jittered_ms};
 pub use operator_view::{OperatorChange, OperatorRow, OperatorView, ViewOutcome};
+pub use part_begins::PartBegins;
+pub use part_history::PartHistory;
+pub use part_quarantine::{PartGate, PartQuarantine};
+pub use part_verdict::{PartVerdict, SuspectedParts};
 pub use planned_engine::{PlannedEngine, WeightTier};
 pub use process_delay::ProcessDelay;
 pub use quota_allocator::QuotaAllocator;
@@ -85,6 +103,7 @@
 pub use team_rule::TeamRule;
 pub use token_quota::{GRANT_LIFETIME_MS, ReserveOutcome, TokenNeed, TokenQuota};
 pub use token_wait::TokenWait;
+pub use trial_table::TrialTable;
 pub use upstream_entry::{HeldModel, UpstreamEntry};
 pub use upstream_freshness::UpstreamFreshness;
 pub use upstream_registry::{
--- /dev/null
+++ b/crates/cowslip-entry/src/part_quarantine.rs
@@ -0,0 +1,89 @@
+//! Decides whether a request may be sent, by the prompt parts that it shares with requests under which upstreams
+//! ended.
+//!
+//! A part with enough crashes is held back. Before that, and when its hold time is over, requests with it are
+//! sent one at a time and apart from each other: the begin of an answer clears the part, another crash convicts
+//! it.
+
+use cowslip_units::{ClockTime, PartId, UpstreamId};
+
+use crate::HeldPart;
+use crate::crash_log::{CrashLog, FleetMembers};
+use crate::part_verdict::PartVerdict;
+use crate::trial_table::TrialTable;
+
+/// Time in ms after which a request that waits for another one's trial looks again, unless it is woken.
+const TRIAL_POLL_MS: u64 = 100;
+
+/// What a request may do now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PartGate {
+    /// It may be sent.
+    Open,
+    /// It may be sent as the only one with these suspected parts.
+    Trial(Vec<PartId>),
+    /// It must wait this many ms, or until the crash log changes.
+    Wait(u64),
+    /// It must not be sent.
+    Closed(HeldPart),
+}
+
+/// Crashes, and trials of suspected parts, at one gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PartQuarantine {
+    /// Known crashes.
+    pub log: CrashLog,
+    /// Trials under way.
+    pub trials: TrialTable,
+}
+
+impl PartQuarantine {
+    /// A quarantine without any crash.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides on a request with these sorted shared parts. `is_repeat` is true when it waited at an upstream that
+    /// crashed.
+    pub fn gate(
+        &self,
+        parts: &[PartId],
+        is_repeat: bool,
+        fleet: FleetMembers<'_>,
+        now: ClockTime,
+    ) -> PartGate {
+        if parts.is_empty() || self.log.is_empty() {
+            return PartGate::Open;
+        }
+        match self.log.judge(parts, fleet, now) {
+            PartVerdict::Clear => PartGate::Open,
+            PartVerdict::Held(held) => PartGate::Closed(held),
+            PartVerdict::Suspected(suspected) => {
+                let from = if is_repeat { suspected.repeat_from } else { suspected.others_from };
+                if now < from {
+                    PartGate::Wait(from.since_ms(now))
+                } else if self.trials.is_tried(&suspected.parts) {
+                    PartGate::Wait(TRIAL_POLL_MS)
+                } else {
+                    PartGate::Trial(suspected.parts)
+                }
+            }
+        }
+    }
+
+    /// The part that forbids to send a request with these shared parts; `None` when there is none.
+    pub fn held_part(&self, parts: &[PartId], fleet: FleetMembers<'_>, now: ClockTime) -> Option<HeldPart> {
+        if parts.is_empty() || self.log.is_empty() {
+            return None;
+        }
+        match self.log.judge(parts, fleet, now) {
+            PartVerdict::Held(held) => Some(held),
+            PartVerdict::Clear | PartVerdict::Suspected(_) => None,
+        }
+    }
+
+    /// Begins a trial of suspected parts; returns its number.
+    pub fn begin_trial(&mut self, parts: Vec<PartId>, upstream: &UpstreamId) -> u64 {
+        self.trials.begin(parts, upstream.clone())
+    }
+}
--- /dev/null
+++ b/crates/cowslip-entry/tests/entry/crash_cases.rs
@@ -0,0 +1,355 @@
+//! Which prompt parts are suspected, held back, tried and released.
+
+use cowslip_entry::{
+    CrashLog, FleetMembers, PartBegins, PartGate, PartQuarantine, PartVerdict, UpstreamStart, hash_rank,
+    text_hash,
+};
+use cowslip_units::{ClockTime, PartId, UpstreamId};
+use rstest::rstest;
+use smol_str::SmolStr;
+
+use crate::fixtures::at;
+
+/// Time in ms between two crashes of these tests.
+const GAP_MS: u64 = 1_000;
+
+/// Time in ms for which a part is held back after the crashes that convicted it.
+const HOLD_MS: u64 = 60_000;
+
+fn part(text: &str) -> PartId {
+    PartId::new(text).expect("a part")
+}
+
+/// Sorted parts from a text such as "a b p".
+fn parts(text: &str) -> Vec<PartId> {
+    let mut parts: Vec<PartId> = text.split_whitespace().map(part).collect();
+    parts.sort();
+    parts
+}
+
+fn start(number: u64) -> UpstreamStart {
+    UpstreamStart { id: UpstreamId::new(&format!("i-{number:03}")).expect("an id"), born: number }
+}
+
+fn names(count: usize) -> Vec<SmolStr> {
+    (0..count).map(|number| SmolStr::new(format!("g{number}"))).collect()
+}
+
+/// A fleet of which this gateway is the only member, so that it owns all trials.
+fn alone(members: &[SmolStr]) -> FleetMembers<'_> {
+    FleetMembers { own_name: "g0", members }
+}
+
+/// A log in which one upstream after the other ends, each with these suspects ("a b, a c": two requests).
+fn crashed(crashes: &[&str]) -> CrashLog {
+    let mut log = CrashLog::new();
+    for (number, suspects) in crashes.iter().enumerate() {
+        for request in suspects.split(',') {
+            log.record_crash(&start(number as u64), &parts(request), crash_at(number));
+        }
+    }
+    log
+}
+
+fn crash_at(number: usize) -> ClockTime {
+    at(GAP_MS * (number as u64 + 1))
+}
+
+/// What the log says about a request some time after the last of `crashes` crashes.
+fn verdict(log: &CrashLog, request: &str, crashes: usize) -> &'static str {
+    let members = names(3);
+    match log.judge(&parts(request), alone(&members), crash_at(crashes - 1).plus_ms(GAP_MS)) {
+        PartVerdict::Clear => "clear",
+        PartVerdict::Suspected(_) => "suspected",
+        PartVerdict::Held(_) => "held",
+    }
+}
+
+/// Guards against holding the wrong parts back, and against not holding back a part that ends upstreams.
+#[rstest]
+#[case::one_crash_is_no_proof(&["p"], "p", "suspected")]
+#[case::two_crashes(&["p", "p"], "p", "held")]
+#[case::another_part(&["p", "p"], "q", "clear")]
+#[case::no_shared_part(&["p", "p"], "", "clear")]
+#[case::beside_others(&["p", "p"], "a p z", "held")]
+#[case::never_seen_apart(&["a b p", "a b p"], "a b p", "held")]
+#[case::common_part_alone(&["a b p", "a b p"], "a x", "suspected")]
+#[case::rare_part_alone(&["a b p", "a b p"], "a b", "suspected")]
+#[case::other_companions(&["a b p", "a c p"], "a p", "held")]
+#[case::companion_of_one_crash(&["a b p", "a c p"], "b", "suspected")]
+#[case::tried_apart(&["a b p", "a b p", "p"], "p", "held")]
+#[case::tried_apart_the_other(&["a b p", "a b p", "p"], "a b", "suspected")]
+#[case::blame_shared_once(&["p, q", "p"], "p", "held")]
+#[case::blame_shared_once_of_the_other(&["p, q", "p"], "q", "suspected")]
+#[case::blame_shared_twice(&["p, q", "p, q"], "p", "suspected")]
+#[case::blame_of_three(&["p, q", "p, r", "p, s"], "p", "held")]
+#[case::two_deadly_parts(&["p", "q", "p", "q"], "q", "held")]
+#[case::two_deadly_parts_the_other(&["p", "q", "p", "q"], "p", "held")]
+#[case::two_deadly_parts_at_one_upstream(&["p, q", "p", "q"], "q", "held")]
+fn parts_are_judged_by_their_crashes(
+    #[case] crashes: &[&str],
+    #[case] request: &str,
+    #[case] expected: &str,
+) {
+    assert_eq!(verdict(&crashed(crashes), request, crashes.len()), expected);
+}
+
+/// Guards against holding back sound parts that stood beside the cause: an answer that began on them later
+/// clears them, and the blame falls on what is left.
+#[rstest]
+#[case::cleared(&["a p", "a p"], "a", "a x", "clear")]
+#[case::the_rest_is_held(&["a p", "a p"], "a", "p x", "held")]
+#[case::rivals_cleared(&["p, q", "p, q"], "q", "p", "held")]
+#[case::all_cleared(&["p", "p"], "p", "p", "clear")]
+fn a_begun_answer_clears_its_parts(
+    #[case] crashes: &[&str],
+    #[case] begun: &str,
+    #[case] request: &str,
+    #[case] expected: &str,
+) {
+    let mut log = crashed(crashes);
+    log.record_begin(&parts(begun), crash_at(crashes.len() - 1).plus_ms(10));
+    assert_eq!(verdict(&log, request, crashes.len()), expected);
+}
+
+/// Guards against counting crashes from before the last answer that began on a part.
+#[test]
+fn only_crashes_since_the_last_begin_count() {
+    let mut log = crashed(&["p"]);
+    log.record_begin(&parts("p"), crash_at(0).plus_ms(10));
+    log.record_crash(&start(1), &parts("p"), crash_at(1));
+    assert_eq!(verdict(&log, "p", 2), "clear", "in use, and one crash");
+    log.record_crash(&start(2), &parts("p"), crash_at(2));
+    log.record_crash(&start(3), &parts("p"), crash_at(3));
+    assert_eq!(verdict(&log, "p", 4), "held", "three crashes of a part that was in use");
+}
+
+/// Guards against suspecting what many requests share after each crash of another cause, and against never
+/// suspecting it.
+#[test]
+fn a_part_in_use_is_left_alone_until_its_third_crash() {
+    let mut log = CrashLog::new();
+    log.record_begin(&parts("a"), at(500));
+    for (number, expected) in [(0, "clear"), (1, "clear"), (2, "held"), (3, "held")] {
+        log.record_crash(&start(number), &parts(&format!("a b{number}")), crash_at(number as usize));
+        assert_eq!(verdict(&log, "a x", number as usize + 1), expected, "crash {number}");
+    }
+}
+
+/// Guards against holding a part back because a whole failure domain ended at once.
+#[test]
+fn simultaneous_crashes_are_one_event() {
+    let mut log = CrashLog::new();
+    for number in 0..10 {
+        log.record_crash(&start(number), &parts("p"), at(1_000 + number * 4));
+    }
+    assert_eq!(verdict(&log, "p", 1), "suspected");
+    log.record_crash(&start(11), &parts("p"), crash_at(1));
+    assert_eq!(verdict(&log, "p", 2), "held");
+}
+
+/// Guards against refusing requests while the begin of an answer that clears them is on its way.
+#[test]
+fn convicted_parts_only_wait_at_first() {
+    let log = crashed(&["p", "p"]);
+    let (members, now) = (names(1), crash_at(1).plus_ms(550));
+    let quarantine = PartQuarantine { log, ..PartQuarantine::new() };
+    let gate = quarantine.gate(&parts("p"), true, alone(&members), now);
+    assert!(matches!(gate, PartGate::Wait(50)), "{gate:?}");
+    let gate = quarantine.gate(&parts("p"), true, alone(&members), now.plus_ms(50));
+    assert!(matches!(gate, PartGate::Closed(_)), "{gate:?}");
+}
+
+/// Guards against several requests at once with a part that is suspected, and against making those wait that
+/// were at the crashed upstream: they tell the soonest.
+#[test]
+fn a_suspected_part_is_tried_by_one_request_at_a_time() {
+    let (members, now) = (names(1), crash_at(0).plus_ms(20));
+    let mut quarantine = PartQuarantine { log: crashed(&["b p"]), ..PartQuarantine::new() };
+    let others = quarantine.gate(&parts("p"), false, alone(&members), now);
+    assert!(matches!(others, PartGate::Wait(_)), "{others:?}");
+    let PartGate::Trial(tried) = quarantine.gate(&parts("b p"), true, alone(&members), now) else {
+        panic!("the request is not sent again")
+    };
+    let number = quarantine.begin_trial(tried, &start(7).id);
+    assert_eq!(quarantine.trials.upstreams().count(), 1);
+    let later = now.plus_ms(700);
+    for request in ["p", "b", "b p z"] {
+        let gate = quarantine.gate(&parts(request), false, alone(&members), later);
+        assert!(matches!(gate, PartGate::Wait(_)), "{request}: {gate:?}");
+    }
+    assert_eq!(quarantine.gate(&parts("z"), false, alone(&members), later), PartGate::Open);
+    quarantine.trials.end(number);
+    let gate = quarantine.gate(&parts("p"), false, alone(&members), later);
+    assert!(matches!(gate, PartGate::Trial(_)), "{gate:?}");
+}
+
+/// Guards against a part that stays held back for ever, and against several gateways that try it at once.
+#[test]
+fn one_gateway_tries_a_part_after_its_hold_time() {
+    let members = names(5);
+    let log = crashed(&["p", "p"]);
+    let end = crash_at(1).plus_ms(HOLD_MS);
+    let held_by = |now: ClockTime| {
+        let is_held = |own_name: &SmolStr| {
+            let fleet = FleetMembers { own_name, members: &members };
+            matches!(log.judge(&parts("p"), fleet, now), PartVerdict::Held(_))
+        };
+        members.iter().filter(|name| is_held(name)).count()
+    };
+    assert_eq!(held_by(end.minus_ms(1)), 5);
+    assert_eq!(held_by(end), 4);
+    let owner = members.iter().find(|name| hash_rank(text_hash("p"), name, &members) == 0);
+    let fleet = FleetMembers { own_name: owner.expect("an owner"), members: &members };
+    assert!(matches!(log.judge(&parts("p"), fleet, end), PartVerdict::Suspected(_)));
+}
+
+/// Guards against trials that end upstreams as often as before: each doubles the hold time.
+#[test]
+fn a_failed_trial_doubles_the_hold_time() {
+    let mut log = crashed(&["p", "p"]);
+    let mut last = crash_at(1);
+    let mut hold_ms = HOLD_MS;
+    for number in 2..12 {
+        last = last.plus_ms(hold_ms);
+        log.expire(last);
+        log.record_crash(&start(number), &parts("p"), last);
+        hold_ms = (hold_ms * 2).min(HOLD_MS * 64);
+        let held = log.held_parts(last);
+        assert_eq!(held.len(), 1, "crash {number}");
+        assert_eq!(held[0].until.since_ms(last), 2 * hold_ms, "crash {number}");
+        assert_eq!(held[0].events as u64, number + 1);
+    }
+}
+
+/// Guards against remembering for ever what nobody asks for any more.
+#[rstest]
+#[case::suspected(&["p"], 600_000)]
+#[case::held(&["p", "p"], 2 * HOLD_MS)]
+fn crashes_are_forgotten(#[case] crashes: &[&str], #[case] after_ms: u64) {
+    let mut log = crashed(crashes);
+    let last = crash_at(crashes.len() - 1);
+    log.expire(last.plus_ms(after_ms - 1));
+    assert!(!log.is_empty());
+    log.expire(last.plus_ms(after_ms));
+    assert!(log.is_empty(), "{log:?}");
+    let members = names(1);
+    assert_eq!(log.judge(&parts("p"), alone(&members), last.plus_ms(after_ms)), PartVerdict::Clear);
+}
+
+/// Guards against a released part that stays held back because another suspect of its crashes is remembered.
+#[test]
+fn a_released_part_is_clear_beside_remembered_suspects() {
+    let mut log = crashed(&["p", "p, q"]);
+    let end = crash_at(1).plus_ms(2 * HOLD_MS);
+    log.expire(end);
+    let members = names(1);
+    assert_eq!(log.judge(&parts("p"), alone(&members), end), PartVerdict::Clear);
+    assert!(matches!(log.judge(&parts("q"), alone(&members), end), PartVerdict::Suspected(_)));
+}
+
+/// Guards against gateways that disagree, or that bring back what another one has cleared.
+#[test]
+fn merged_logs_agree() {
+    let now = crash_at(3);
+    let mut left = crashed(&["a p", "a p"]);
+    let mut right = CrashLog::new();
+    right.record_crash(&start(0), &parts("q"), crash_at(0));
+    right.merge(&left.copy(crash_at(1)), crash_at(1));
+    right.record_begin(&parts("a"), crash_at(1).plus_ms(10));
+    left.merge(&right.copy(now), now);
+    assert_eq!(left.digest(), right.digest());
+    assert_eq!(left.copy(now).digest(), right.digest());
+    let before = left.clone();
+    left.merge(&right.copy(now), now);
+    assert_eq!(left, before);
+    assert_eq!(verdict(&left, "a x", 4), "clear");
+    assert_eq!(verdict(&left, "p", 4), "held");
+}
+
+/// Guards against a gateway that was away and brings back a part that the others have cleared since.
+#[rstest]
+#[case::soon(5_000)]
+#[case::when_the_crashes_are_forgotten(40_000)]
+fn a_stale_copy_brings_nothing_back(#[case] after_ms: u64) {
+    let mut stale = crashed(&["p", "p"]);
+    let mut log = stale.clone();
+    log.record_begin(&parts("p"), crash_at(1).plus_ms(10));
+    assert!(log.is_empty());
+    let now = crash_at(1).plus_ms(after_ms);
+    log.expire(now);
+    log.merge(&stale.copy(now), now);
+    assert!(log.is_empty());
+    stale.merge(&log.copy(now), now);
+    assert!(stale.is_empty(), "{stale:?}");
+}
+
+/// Guards against logs that never agree because news of a crash take different times to different gateways.
+#[test]
+fn logs_agree_when_a_begin_lies_between_the_crash_and_its_news() {
+    let mut first = CrashLog::new();
+    first.record_crash(&start(0), &parts("a p"), at(1_000));
+    let mut second = CrashLog::new();
+    second.record_begin(&parts("a"), at(1_050));
+    second.merge(&first.copy(at(1_000)), at(1_100));
+    first.record_begin(&parts("a"), at(1_060));
+    for now in [at(1_200), at(1_300)] {
+        let copies = [first.copy(now), second.copy(now)];
+        first.merge(&copies[1], now);
+        second.merge(&copies[0], now);
+    }
+    assert_eq!(first.digest(), second.digest());
+    assert_eq!(verdict(&second, "a", 1), "clear");
+}
+
+/// Guards against telling the whole fleet at once of each crash, whatever its suspects.
+#[test]
+fn only_suspects_with_unknown_parts_are_news() {
+    let mut log = CrashLog::new();
+    log.record_begin(&parts("a b"), at(500));
+    log.record_crash(&start(0), &parts("a b"), at(1_000));
+    assert_eq!(log.take_news(at(1_000)), None);
+    log.record_crash(&start(1), &parts("a p"), at(1_100));
+    assert_eq!(log.take_news(at(1_100)).map(|copy| copy.crashes.len()), Some(1));
+    log.record_crash(&start(1), &parts("a p"), at(1_101));
+    assert_eq!(log.take_news(at(1_102)), None);
+}
+
+/// Guards against a log that grows with the number of prompts, crashes and requests, or forgets a part that is
+/// held back over crashes of other causes.
+#[test]
+fn the_log_is_bounded() {
+    let mut log = crashed(&["p", "p"]);
+    for number in 10..300_u64 {
+        for request in 0..40 {
+            let request = format!("r{number}x{request} s{number}x{request}");
+            log.record_crash(&start(number), &parts(&request), at(5_000 + number));
+        }
+    }
+    let now = at(7_000);
+    let copy = log.copy(now);
+    let ids: usize = copy.crashes.iter().flat_map(|line| &line.suspects).map(Vec::len).sum();
+    assert!(copy.crashes.len() <= 128 && ids <= 128 * 128, "{} crashes, {ids} parts", copy.crashes.len());
+    assert_eq!(log.held_parts(now).len(), 1);
+    let mut begins = PartBegins::default();
+    for number in 0..100_000 {
+        begins.record(&part(&format!("{number:x}")), at(number));
+    }
+    assert!(begins.len() <= 4_096 && begins.len() > 2_000, "{}", begins.len());
+    assert_eq!(begins.last(&part(&format!("{:x}", 99_999))), Some(at(99_999)));
+}
+
+/// Guards against a part that reaches upstreams again after all gateways have ended at once.
+#[test]
+fn only_held_parts_are_stored() {
+    let log = crashed(&["a p", "a p", "q"]);
+    let now = crash_at(3);
+    let copy = log.held_copy(now);
+    let stored: Vec<_> = copy.crashes.iter().flat_map(|line| line.suspects.clone()).collect();
+    assert_eq!(stored, [parts("a p"), parts("a p")]);
+    let mut restarted = CrashLog::new();
+    restarted.merge(&copy, at(1_000_000));
+    let members = names(1);
+    assert!(matches!(restarted.judge(&parts("a p"), alone(&members), at(1_000_500)), PartVerdict::Held(_)));
+    assert!(restarted.held_copy(at(1_000_500)).crashes.len() == 2);
+}
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, in virtual time.
 
 mod config_cases;
+mod crash_cases;
 mod delay_cases;
 mod demand_cases;
 mod era_cases;
@@ -12,6 +13,7 @@
 mod notice_cases;
 mod planner_cases;
 mod planner_runs;
+mod quarantine_runs;
 mod rare_runs;
 mod registry_cases;
 mod update_cases;
