--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{LeaderHandover, UpstreamEntry, UpstreamStart};
+use crate::{CrashLogCopy, LeaderHandover, UpstreamEntry, UpstreamStart};
 
 /// Versions and staleness of a gateway's view of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -109,6 +109,12 @@
     /// True when the store has just answered this gateway although the leader's lease renewal is overdue.
     #[serde(default)]
     pub reaches_store: bool,
+    /// Crashes of which the leader has not got this gateway's part.
+    #[serde(default)]
+    pub crashes: CrashLogCopy,
+    /// Cursor in the leader's crash log.
+    #[serde(default)]
+    pub crash_cursor: CrashCursor,
     /// True for an extra report on behalf of waiting requests. It omits the calls in flight, and its answer
     /// carries only what such requests need: full answers exceeded the link capacity of the leader of 85
     /// gateways.
@@ -183,6 +189,15 @@
     pub members: u64,
 }
 
+/// A gateway's cursor in the crash log of a leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashCursor {
+    /// Term of the leader.
+    pub term: u64,
+    /// Cursor in its log.
+    pub revision: u64,
+}
+
 /// The last renewal of the leader's lease, as sent to candidates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRenewal {
@@ -240,6 +255,12 @@
     pub left: Vec<UpstreamId>,
     /// Models that are about to be unloaded.
     pub leaving: Vec<(UpstreamId, ModelId)>,
+    /// Crashes that changed after the gateway's cursor.
+    #[serde(default)]
+    pub crashes: CrashLogCopy,
+    /// Cursor after these crashes.
+    #[serde(default)]
+    pub crash_cursor: CrashCursor,
     /// Handover of a leader that has just stepped down, for the candidates.
     #[serde(default)]
     pub handover: Option<LeaderHandover>,
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -67,9 +67,9 @@
 pub use era_tracker::{EraFault, EraTracker};
 pub use fleet_config::FleetConfig;
 pub use fleet_messages::{
-    AdapterName, ArrivalLine, CopiedRow, DemandLine, GatewayReport, LeaderAnswer, LeaseRenewal, PlaceLine,
-    QuotaRequest, RunningLine, StandaloneQuota, TokenGrantLine, UpdateCursors, ViewCopy, ViewFreshness,
-    last_renewal,
+    AdapterName, ArrivalLine, CopiedRow, CrashCursor, DemandLine, GatewayReport, LeaderAnswer, LeaseRenewal,
+    PlaceLine, QuotaRequest, RunningLine, StandaloneQuota, TokenGrantLine, UpdateCursors, ViewCopy,
+    ViewFreshness, last_renewal,
 };
 pub use grant_window::GrantWindow;
 pub use held_part::HeldPart;
--- a/crates/cowslip-entry/src/upstream_registry.rs
+++ b/crates/cowslip-entry/src/upstream_registry.rs
@@ -62,6 +62,8 @@
     Away(u64),
     /// All holders run as many calls as they can run at once.
     Full,
+    /// A prompt part of the request is suspected, and another request tries it; look again in this many ms.
+    Suspected(u64),
     /// The view of the upstreams is too old to be used for sending requests.
     Unproven,
 }
@@ -499,7 +501,8 @@
         WaitCause::Away(_) => 4,
         WaitCause::Cold(_) => 5,
         WaitCause::Full => 6,
-        WaitCause::Unproven => 7,
+        WaitCause::Suspected(_) => 7,
+        WaitCause::Unproven => 8,
     };
     match (left, right) {
         (WaitCause::Cold(left), WaitCause::Cold(right)) => WaitCause::Cold(left.min(right)),
--- a/crates/cowslip-gateway/src/cut_cause.rs
+++ b/crates/cowslip-gateway/src/cut_cause.rs
@@ -40,7 +40,7 @@
             SendOutcome::NotSent => Some(Self::Unreachable),
             SendOutcome::NotRun(_) => Some(Self::Refused),
             SendOutcome::Failure(_) => Some(Self::Failed),
-            SendOutcome::Broken | SendOutcome::Lost(_) => Some(Self::Lost),
+            SendOutcome::Withdrawn | SendOutcome::Broken | SendOutcome::Lost(_) => Some(Self::Lost),
             SendOutcome::Answered(_) | SendOutcome::Withheld => None,
         }
     }
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -13,7 +13,9 @@
 use crate::call_guard::CallGuard;
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
-use crate::outcome_record::{log_answer, log_end, log_outcome, record_outcome};
+use crate::outcome_record::{log_answer, log_outcome, record_outcome};
+use crate::part_guard::{record_begin, record_break, wait_until_held};
+use crate::plain_call::plain_call;
 use crate::request_context::{AdmittedRequest, RequestContext};
 use crate::request_flow::route_kind_name;
 use crate::request_progress::RequestProgress;
@@ -51,6 +53,7 @@
         unreached: 0,
         waited_ms: 0,
         cause: None,
+        is_repeat: false,
         last_event: None,
     };
     {
@@ -73,19 +76,25 @@
     mut progress: RequestProgress,
 ) -> Result<Response<ResponseBody>, RequestRejection> {
     loop {
-        let (chosen, checked) = choose_upstream(gateway, context, admitted, &mut progress).await?;
-        admitted = checked;
+        let choice = choose_upstream(gateway, context, admitted, &mut progress).await?;
+        admitted = choice.admitted;
+        let chosen = choice.upstream;
         let guard = CallGuard::new(gateway, &chosen, progress.need.model.as_ref());
-        let outcome = match admitted.route.kind {
-            RouteKind::Streaming => stream_call(gateway, context, &admitted, &progress, &chosen, guard).await,
-            _ => match call_or_take_over(gateway, context, &admitted, &progress, &chosen, guard).await {
-                CallEnd::Own(outcome) => outcome,
-                CallEnd::TakenOver(result) => return result,
-            },
+        let is_trial = choice.trial.is_some();
+        let sent = send(gateway, context, &admitted, &progress, &chosen, guard, is_trial);
+        let end = tokio::select! {
+            biased;
+            end = sent => end,
+            () = wait_until_held(gateway, &context.caller.parts) => CallEnd::Own(SendOutcome::Withdrawn),
+        };
+        let outcome = match end {
+            CallEnd::Own(outcome) => outcome,
+            CallEnd::TakenOver(result) => return result,
         };
         if matches!(outcome, SendOutcome::Broken) {
-            log_end(gateway, context, &chosen).await;
+            progress.is_repeat |= record_break(gateway, context, &chosen).await;
         }
+        drop(choice.trial);
         if let Some(response) = handle_outcome(gateway, context, &admitted, &mut progress, &chosen, outcome)?
         {
             return Ok(response);
@@ -94,6 +103,30 @@
     }
 }
 
+/// Sends a request to an upstream and waits for the begin of a stream, or for a whole response. A trial is at one
+/// upstream only.
+async fn send(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    admitted: &AdmittedRequest,
+    progress: &RequestProgress,
+    upstream: &UpstreamId,
+    guard: CallGuard,
+    is_trial: bool,
+) -> CallEnd {
+    match admitted.route.kind {
+        RouteKind::Streaming => {
+            CallEnd::Own(stream_call(gateway, context, admitted, progress, upstream, guard).await)
+        }
+        RouteKind::Idempotent | RouteKind::NonIdempotent if is_trial => {
+            CallEnd::Own(plain_call(gateway, context, admitted, progress.limit, upstream, guard).await)
+        }
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            call_or_take_over(gateway, context, admitted, progress, upstream, guard).await
+        }
+    }
+}
+
 fn request_need(
     context: &RequestContext,
     admitted: &AdmittedRequest,
@@ -126,6 +159,9 @@
     progress.count(upstream, &outcome);
     match outcome {
         SendOutcome::Answered(response) => {
+            if response.status().is_success() {
+                record_begin(gateway, context);
+            }
             log_answer(gateway, context, admitted, progress, upstream, response.status());
             let labels = OutcomeLabels { kind: route_kind_name(admitted.route.kind), outcome: "answered" };
             gateway.metrics.requests.get_or_create(&labels).inc();
@@ -142,6 +178,7 @@
             let can_retry = may_retry(gateway, admitted, progress, now);
             Ok((!can_retry).then_some(response))
         }
+        SendOutcome::Withdrawn => Err(progress.rejection()),
         SendOutcome::Broken => {
             let can_retry = may_retry(gateway, admitted, progress, now);
             if can_retry { Ok(None) } else { Err(RequestRejection::new(ErrorKind::UpstreamFailed)) }
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -55,6 +55,12 @@
     pub stream_cuts: Family<CutLabels, Counter>,
     /// Retried sends.
     pub retries: Counter,
+    /// Requests without a begun answer whose upstream has ended.
+    pub upstream_ends: Counter,
+    /// Requests sent although one of their prompt parts is suspected.
+    pub part_trials: Counter,
+    /// Prompt parts that are held back.
+    pub held_parts: Gauge,
     /// Number of times that this gateway started or stopped leading.
     pub lease_changes: Counter,
     /// Number of restores of the store from an older backup that this gateway has seen.
@@ -98,6 +104,9 @@
             resumes: Counter::default(),
             stream_cuts: Family::default(),
             retries: Counter::default(),
+            upstream_ends: Counter::default(),
+            part_trials: Counter::default(),
+            held_parts: Gauge::default(),
             lease_changes: Counter::default(),
             era_changes: Counter::default(),
             lines_suppressed: Counter::default(),
@@ -127,6 +136,17 @@
         registry.register("resumes", "Streams resumed at another upstream", self.resumes.clone());
         registry.register("stream_cuts", "Streams cut, by cause", self.stream_cuts.clone());
         registry.register("repeats", "Sends repeated", self.retries.clone());
+        registry.register(
+            "upstream_ends",
+            "Requests that waited at an upstream that ended",
+            self.upstream_ends.clone(),
+        );
+        registry.register(
+            "part_trials",
+            "Requests sent with suspected prompt parts",
+            self.part_trials.clone(),
+        );
+        registry.register("held_parts", "Prompt parts that are held back", self.held_parts.clone());
         registry.register("lease_changes", "Changes of the leader lease", self.lease_changes.clone());
         registry.register(
             "store_era_changes",
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -15,9 +15,12 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::caller_server::{listen, serve_callers, serve_status};
+use crate::crash_exchange::share_crashes;
 use crate::gateway_state::Gateway;
+use crate::held_store::store_held_parts;
 use crate::leader_exchange::{PeerServer, report_loop};
 use crate::lease_task::lease_loop;
+use crate::part_guard::expire_crashes;
 use crate::plan_task::plan_loop;
 use crate::store_watch::{WatchedTable, watch_table};
 
@@ -81,6 +84,8 @@
     tokio::spawn(serve_status(Arc::clone(gateway), readiness));
     tokio::spawn(serve_status(Arc::clone(gateway), metrics));
     tokio::spawn(report_loop(Arc::clone(gateway)));
+    tokio::spawn(share_crashes(Arc::clone(gateway)));
+    tokio::spawn(store_held_parts(Arc::clone(gateway)));
     tokio::spawn(plan_loop(Arc::clone(gateway)));
     tokio::spawn(run_maintenance(Arc::clone(gateway), line_limiter));
     let lease = tokio::spawn(lease_loop(Arc::clone(gateway), own));
@@ -134,6 +139,7 @@
             info!(gateway.logger, "upstream_lapsed"; "upstream" => %upstream);
         }
         gateway.pool.close_idle();
+        expire_crashes(&gateway);
         let counts = line_limiter.lock().unwrap_or_else(PoisonError::into_inner).take_suppressed();
         for (kind, count) in counts {
             gateway.metrics.lines_suppressed.inc_by(count);
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -5,13 +5,13 @@
 
 use cowslip_adapter::{GatewaySettings, StoreClient, StoreRow};
 use cowslip_entry::{
-    ArrivalLine, LeaderHandover, ModelNeed, OperatorView, PickContext, ProcessDelay, ReceivedHandover,
-    RequestNeed, RetryThrottle, RunningLine, ServiceRule, StoreOutage, TokenQuota, UpdateCursors,
-    UpstreamFreshness, UpstreamPick, UpstreamRegistry, ViewFreshness, WaitCause,
+    ArrivalLine, CrashCursor, LeaderHandover, ModelNeed, OperatorView, PartQuarantine, PickContext,
+    ProcessDelay, ReceivedHandover, RequestNeed, RetryThrottle, RunningLine, ServiceRule, StoreOutage,
+    TokenQuota, UpdateCursors, UpstreamFreshness, UpstreamPick, UpstreamRegistry, ViewFreshness, WaitCause,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::ProcessClock;
-use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, TeamId, UpstreamId};
+use cowslip_units::{ClockTime, DomainId, ModelId, PartId, ServiceId, TeamId, UpstreamId};
 use slog::Logger;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
@@ -149,6 +149,12 @@
     pub active: u32,
     /// Rate limit on log lines about requests.
     pub line_limiter: RequestLineLimiter,
+    /// Crashes of upstreams and the prompt parts that are suspected of them.
+    pub quarantine: PartQuarantine,
+    /// Cursor in the leader's crash log.
+    pub crash_cursor: CrashCursor,
+    /// Prompt parts that are held back, as last logged.
+    pub held_parts: Vec<PartId>,
     /// Requests by model since the last report.
     pub arrived: Vec<ArrivalCount>,
     /// Calls in flight, by upstream, model and adapter.
@@ -177,6 +183,8 @@
     pub state_changed: Notify,
     /// Wakes the report task.
     pub report_now: Notify,
+    /// Wakes the task that tells other gateways of crashes.
+    pub crashes_changed: Notify,
     /// Wakes the tasks that watch the store.
     pub watch_now: Notify,
     /// Wakes the plan task.
@@ -202,6 +210,7 @@
             pool: UpstreamPool::new(clock),
             state_changed: Notify::new(),
             report_now: Notify::new(),
+            crashes_changed: Notify::new(),
             watch_now: Notify::new(),
             plan_now: Notify::new(),
             closing: watch::Sender::new(false),
@@ -276,6 +285,9 @@
             stopping_at: None,
             active: 0,
             line_limiter: RequestLineLimiter::default(),
+            quarantine: PartQuarantine::new(),
+            crash_cursor: CrashCursor::default(),
+            held_parts: Vec::new(),
             arrived: Vec::new(),
             running: Vec::new(),
             next_ticket: 0,
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -5,20 +5,22 @@
 use std::time::Duration;
 
 use cowslip_entry::{
-    AnswerNotice, GatewayReport, LeaderAnswer, LeaseRenewal, StandaloneQuota, TokenGrantLine, ViewCopy,
-    candidate_interval_ms, last_renewal, report_interval_ms, silent_after_ms, urgent_interval_ms,
+    AnswerNotice, CrashCursor, CrashLogCopy, GatewayReport, LeaderAnswer, LeaseRenewal, StandaloneQuota,
+    TokenGrantLine, ViewCopy, candidate_interval_ms, last_renewal, report_interval_ms, silent_after_ms,
+    urgent_interval_ms,
 };
-use cowslip_rpc::{GatewayApiClient, GatewayApiServer, connect};
+use cowslip_rpc::{GatewayApiClient, GatewayApiServer};
 use cowslip_units::{ClockTime, TeamId};
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::http_client::HttpClient;
 use slog::{info, warn};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
+use crate::crash_exchange::merge_crashes;
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
 use crate::lease_task::{SMALL_FLEET, accept_handover, resign_if_store_unreachable};
+use crate::peer_clients::PeerClients;
 use crate::standalone_share::raise_fleet_size;
 use crate::store_watch::{apply_upstream_updates, apply_view_copy, view_copy};
 
@@ -31,10 +33,6 @@
 /// Shortest interval in ms between two reports.
 const MIN_REPORT_MS: u64 = 4;
 
-/// Timeout in ms of a call to another gateway, and its increase per member of the fleet: a leader may have
-/// reports of all members queued.
-const PEER_TIMEOUT_MS: (u64, u64) = (400, 5);
-
 /// Time in ms for which a former leader answers reports with its handover.
 const HANDOVER_VALIDITY_MS: u64 = 4_000;
 
@@ -61,6 +59,11 @@
         Ok(answer_report(&self.gateway, report))
     }
 
+    async fn crash_news(&self, news: CrashLogCopy) -> RpcResult<()> {
+        merge_crashes(&self.gateway, &mut self.gateway.lock(), &news, self.gateway.crash_time());
+        Ok(())
+    }
+
     async fn view_copy(&self) -> RpcResult<ViewCopy> {
         let now = self.gateway.now();
         Ok(view_copy(&self.gateway.lock(), now))
@@ -86,6 +89,10 @@
     let config = state.view.config().cloned();
     let leader = state.leader;
     let own = gateway.settings.peers;
+    if state.lead.is_some() {
+        merge_crashes(gateway, state, &report.crashes, gateway.crash_time());
+    }
+    let crash_cursor = report.crash_cursor;
     let Some(lead) = state.lead.as_mut() else {
         let handover = state.outgoing_handover.as_ref().filter(|_| report.may_lead);
         let handover = handover.map(|(handover, at)| (handover, now.since_ms(*at)));
@@ -101,7 +108,15 @@
         state.upstreams.record_notice(start, leaving, now);
     }
     let services = config.as_ref().map_or(&[][..], |config| config.services());
+    let fence = lead.fence.get();
     let answer = lead.answer(report, services, view, lease, own, now);
+    let known = if crash_cursor.term == fence { crash_cursor.revision } else { 0 };
+    let log = &state.quarantine.log;
+    let answer = LeaderAnswer {
+        crashes: log.changes_since(known, gateway.crash_time()),
+        crash_cursor: CrashCursor { term: fence, revision: log.cursor() },
+        ..answer
+    };
     // Each plan allows full snapshots for more gateways, and deferred ones wait for theirs.
     if urgent || (answer.deferred && !answer.brief) {
         gateway.plan_now.notify_one();
@@ -116,33 +131,28 @@
     Some(LeaseRenewal { version, age_ms: now.since_ms(renewed_at) })
 }
 
-/// RPC clients by peer address.
-#[derive(Debug, Default)]
-struct PeerClients {
-    clients: Vec<(SocketAddr, HttpClient)>,
+/// A report's answer, and what of the report the leader has taken over with it.
+struct AnsweredReport {
+    answer: LeaderAnswer,
+    /// Tokens by team that were spent without a leader.
+    spent_alone: Vec<(TeamId, u64)>,
+    crashes: CrashLogCopy,
 }
 
-impl PeerClients {
-    fn get(&mut self, gateway: &Gateway, address: SocketAddr) -> Option<HttpClient> {
-        if let Some((_, client)) = self.clients.iter().find(|(known, _)| *known == address) {
-            return Some(client.clone());
-        }
-        let members = gateway.lock().members.len() as u64;
-        match connect(address, PEER_TIMEOUT_MS.0 + PEER_TIMEOUT_MS.1 * members) {
-            Ok(client) => {
-                self.clients.push((address, client.clone()));
-                Some(client)
-            }
-            Err(error) => {
-                warn!(gateway.logger, "peer_client_failed"; "peer" => %address, "error" => %error);
-                None
-            }
+impl AnsweredReport {
+    /// An answered report without its answer.
+    fn new(report: &GatewayReport) -> Self {
+        let spending = report.tokens.iter().filter(|request| request.spent_alone > 0);
+        Self {
+            answer: LeaderAnswer::default(),
+            spent_alone: spending.map(|request| (request.team.clone(), request.spent_alone)).collect(),
+            crashes: report.crashes.clone(),
         }
     }
 
-    /// Drops a client, so that the next call opens a new connection.
-    fn remove_client(&mut self, address: SocketAddr) {
-        self.clients.retain(|(known, _)| *known != address);
+    /// Sets the answer.
+    fn with_answer(self, answer: LeaderAnswer) -> Self {
+        Self { answer, ..self }
     }
 }
 
@@ -159,10 +169,10 @@
             let state = gateway.lock();
             (state.leader, state.lead.is_some())
         };
-        let answer = if leads {
-            let report = gateway.lock().build_report(&gateway.settings, false, sent_at);
-            let spent = standalone_spending(&report);
-            Some((answer_report(&gateway, report), spent))
+        let answered = if leads {
+            let report = gateway.lock().build_report(&gateway.settings, false, sent_at, gateway.crash_time());
+            let answered = AnsweredReport::new(&report);
+            Some(answered.with_answer(answer_report(&gateway, report)))
         } else if let Some(leader) = leader {
             let brief =
                 last_full_answer_at.is_some_and(|at| sent_at.since_ms(at) < brief_period_ms(&gateway));
@@ -170,20 +180,21 @@
         } else {
             None
         };
-        if !leads && !answer.as_ref().is_some_and(|(answer, _)| answer.leads) {
+        let is_leader = answered.as_ref().is_some_and(|answered| answered.answer.leads);
+        if !leads && !is_leader {
             // A former leader may still answer without naming its successor.
             find_leader(&gateway, &mut clients, &mut next_peer, leader).await;
         }
-        let answered = answer.as_ref().is_some_and(|(answer, _)| answer.leads);
-        if answered != has_leader {
-            has_leader = answered;
-            if answered {
+        if is_leader != has_leader {
+            has_leader = is_leader;
+            if is_leader {
                 info!(gateway.logger, "leader_heard"; "leader" => leader.map(|leader| leader.to_string()));
             } else {
                 warn!(gateway.logger, "leader_lost"; "leader" => leader.map(|leader| leader.to_string()));
             }
         }
-        if let Some((answer, spent)) = answer {
+        if let Some(answered) = answered {
+            let answer = &answered.answer;
             if !answer.leads && answer.leader.is_none_or(|named| Some(named) == leader) {
                 // It no longer leads and names no successor: there is no need to wait until it counts as
                 // silent.
@@ -192,7 +203,7 @@
             if answer.leads && !answer.brief {
                 last_full_answer_at = (!answer.deferred).then_some(sent_at);
             }
-            apply_answer(&gateway, answer, spent, sent_at);
+            apply_answer(&gateway, answered, sent_at);
         }
         confirm_view(&gateway, &mut clients, &mut next_peer).await;
         wait_for_next_report(&gateway).await;
@@ -232,15 +243,15 @@
     leader: SocketAddr,
     brief: bool,
     sent_at: ClockTime,
-) -> Option<(LeaderAnswer, Vec<(TeamId, u64)>)> {
+) -> Option<AnsweredReport> {
     let client = clients.get(gateway, leader)?;
-    let report = gateway.lock().build_report(&gateway.settings, brief, sent_at);
-    let spent = standalone_spending(&report);
+    let report = gateway.lock().build_report(&gateway.settings, brief, sent_at, gateway.crash_time());
+    let answered = AnsweredReport::new(&report);
     let result = client.gateway_report(report).await;
     let outcome = if result.is_ok() { "ok" } else { "failed" };
     gateway.metrics.reports.get_or_create(&OutcomeLabels { kind: "report", outcome }).inc();
     match result {
-        Ok(answer) => Some((answer, spent)),
+        Ok(answer) => Some(answered.with_answer(answer)),
         Err(error) => {
             clients.remove_client(leader);
             if gateway.may_log() {
@@ -251,20 +262,9 @@
     }
 }
 
-/// Tokens by team that a report lists as spent without a leader.
-fn standalone_spending(report: &GatewayReport) -> Vec<(TeamId, u64)> {
-    let spending = report.tokens.iter().filter(|request| request.spent_alone > 0);
-    spending.map(|request| (request.team.clone(), request.spent_alone)).collect()
-}
-
-/// Applies the leader's answer. `spent_alone` holds the tokens spent without a leader, which the leader has
-/// now counted.
-fn apply_answer(
-    gateway: &Gateway,
-    answer: LeaderAnswer,
-    spent_alone: Vec<(TeamId, u64)>,
-    sent_at: ClockTime,
-) {
+/// Applies the leader's answer.
+fn apply_answer(gateway: &Gateway, answered: AnsweredReport, sent_at: ClockTime) {
+    let AnsweredReport { answer, spent_alone, crashes } = answered;
     let now = gateway.now();
     let mut state = gateway.lock();
     if let Some(age_ms) = answer.view.age_ms {
@@ -313,6 +313,7 @@
     }
     state.upstreams.apply_places(answer.places, &answer.arrivals, now);
     set_standalone_shares(&mut state, &gateway.settings.name, &answer.rooms, now);
+    apply_crashes(gateway, &mut state, &crashes, &answer.crashes, answer.crash_cursor);
     state.set_pending_loads(answer.arrivals, now);
     for tokens in &mut state.tokens {
         tokens.quota.record_answer(answer.term);
@@ -327,6 +328,25 @@
     gateway.state_changed.notify_waiters();
 }
 
+/// Applies the leader's crashes. `reported` are those of the report.
+fn apply_crashes(
+    gateway: &Gateway,
+    state: &mut GatewayState,
+    reported: &CrashLogCopy,
+    received: &CrashLogCopy,
+    cursor: CrashCursor,
+) {
+    if state.lead.is_some() {
+        return;
+    }
+    state.quarantine.log.mark_shared(reported);
+    merge_crashes(gateway, state, received, gateway.crash_time());
+    if cursor.term != state.crash_cursor.term {
+        state.quarantine.log.share_again();
+    }
+    state.crash_cursor = cursor;
+}
+
 fn apply_members(state: &mut GatewayState, changes: Vec<(SmolStr, bool)>, fresh: bool) {
     if fresh {
         state.members.clear();
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -112,7 +112,7 @@
             places,
             left,
             leaving: if brief { Vec::new() } else { self.planner.leaving() },
-            handover: None,
+            ..LeaderAnswer::default()
         }
     }
 
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -7,14 +7,16 @@
 //!   `upstream_choice`, `retry_choice`, `send_outcome`, `outcome_record`, `call_guard`, `plain_call`, `slow_call`,
 //!   `stream_call`, `event_source`, `event_check`, `stream_relay`, `stream_handover`, `resume_permit`,
 //!   `cut_cause`
+//! - prompt parts that end upstreams: `part_guard`, `crash_exchange`, `held_store`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
-//! - store and other gateways: `store_watch`, `leader_exchange`, `report_builder`
+//! - store and other gateways: `store_watch`, `leader_exchange`, `report_builder`, `peer_clients`
 //! - leader role: `lease_task`, `leader_state`, `plan_task`
 //! - logs and metrics: `gateway_log`, `gateway_metrics`
 
 mod call_guard;
 mod caller_server;
+mod crash_exchange;
 mod cut_cause;
 mod dispatch;
 mod event_check;
@@ -24,10 +26,13 @@
 mod gateway_process;
 mod gateway_state;
 mod guarded_stream;
+mod held_store;
 mod leader_exchange;
 mod leader_state;
 mod lease_task;
 mod outcome_record;
+mod part_guard;
+mod peer_clients;
 mod plain_call;
 mod plan_task;
 mod report_builder;
--- a/crates/cowslip-gateway/src/outcome_record.rs
+++ b/crates/cowslip-gateway/src/outcome_record.rs
@@ -6,22 +6,11 @@
 
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
-use crate::plain_call::send_target;
 use crate::request_context::{AdmittedRequest, RequestContext};
 use crate::request_flow::route_kind_name;
 use crate::request_progress::RequestProgress;
 use crate::send_outcome::SendOutcome;
 
-/// Logs whether the upstream of a broken connection has ended, as far as an attempt to connect tells.
-pub(crate) async fn log_end(gateway: &Gateway, context: &RequestContext, upstream: &UpstreamId) {
-    let Some((address, start)) = send_target(gateway, upstream) else { return };
-    let refuses = gateway.pool.refuses_connections(address).await;
-    if gateway.may_log() {
-        info!(gateway.logger, "upstream_checked"; "request" => %context.caller.attempt, "upstream" => %upstream,
-            "born" => start.born, "ended" => refuses, "parts" => %parts_text(&context.caller.parts));
-    }
-}
-
 /// Logs the answer to a request.
 pub(crate) fn log_answer(
     gateway: &Gateway,
@@ -86,7 +75,7 @@
             known.record_unreachable(now);
             known.breaker.undecided(now);
         }
-        SendOutcome::Withheld => known.breaker.undecided(now),
+        SendOutcome::Withheld | SendOutcome::Withdrawn => known.breaker.undecided(now),
         SendOutcome::NotRun(misplaced) => {
             known.breaker.undecided(now);
             match (&progress.need.model, misplaced) {
--- /dev/null
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -0,0 +1,206 @@
+//! Keeps requests from upstreams whose prompt parts have ended others, and records what each send tells of its
+//! parts.
+
+use std::sync::Arc;
+
+use cowslip_entry::{FleetMembers, HeldPart, PartGate};
+use cowslip_units::{ClockTime, ErrorKind, PartId, UpstreamId};
+use slog::{info, warn};
+
+use crate::gateway_state::{Gateway, GatewayState};
+use crate::outcome_record::parts_text;
+use crate::plain_call::send_target;
+use crate::request_context::RequestContext;
+use crate::request_progress::RequestProgress;
+use crate::request_rejection::RequestRejection;
+
+/// Offset in ms of the crash log's clock: the process's clock starts with the process, but crashes that other
+/// gateways report may be older.
+const CLOCK_OFFSET_MS: u64 = 100_000_000;
+
+impl Gateway {
+    /// Now, on the clock of the crash log.
+    pub(crate) fn crash_time(&self) -> ClockTime {
+        self.now().plus_ms(CLOCK_OFFSET_MS)
+    }
+}
+
+impl GatewayState {
+    /// The fleet, as far as it is known.
+    fn fleet_members<'a>(&'a self, own_name: &'a str) -> FleetMembers<'a> {
+        FleetMembers { own_name, members: &self.members }
+    }
+
+    /// The part that forbids to send a request with these shared prompt parts; `None` when there is none.
+    pub(crate) fn held_part(
+        &self,
+        own_name: &str,
+        parts: &[PartId],
+        crash_time: ClockTime,
+    ) -> Option<HeldPart> {
+        self.quarantine.held_part(parts, self.fleet_members(own_name), crash_time)
+    }
+}
+
+/// Marks a request as the only one with its suspected parts, until dropped.
+#[derive(Debug)]
+pub(crate) struct TrialGuard {
+    gateway: Arc<Gateway>,
+    number: u64,
+}
+
+impl TrialGuard {
+    /// Begins a trial of suspected parts at an upstream.
+    pub(crate) fn new(
+        gateway: &Arc<Gateway>,
+        context: &RequestContext,
+        parts: Vec<PartId>,
+        upstream: &UpstreamId,
+    ) -> Self {
+        gateway.metrics.part_trials.inc();
+        if gateway.may_log() {
+            info!(gateway.logger, "part_trial"; "request" => %context.caller.attempt, "upstream" => %upstream,
+                "parts" => parts_text(&parts));
+        }
+        let number = gateway.lock().quarantine.begin_trial(parts, upstream);
+        Self { gateway: Arc::clone(gateway), number }
+    }
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        self.gateway.lock().quarantine.trials.end(self.number);
+        self.gateway.state_changed.notify_waiters();
+    }
+}
+
+/// Decides by its prompt parts whether a request may be sent now.
+///
+/// # Errors
+/// [`RequestRejection`] when one of the parts is held back.
+pub(crate) fn check_parts(
+    gateway: &Gateway,
+    context: &RequestContext,
+    progress: &RequestProgress,
+) -> Result<PartGate, RequestRejection> {
+    let now = gateway.crash_time();
+    let gate = {
+        let state = gateway.lock();
+        let fleet = state.fleet_members(&gateway.settings.name);
+        state.quarantine.gate(&context.caller.parts, progress.is_repeat, fleet, now)
+    };
+    match gate {
+        PartGate::Closed(held) => Err(held_rejection(gateway, context, progress.runs, &held)),
+        gate => Ok(gate),
+    }
+}
+
+/// Rejects a request that has not been sent when one of its prompt parts is held back.
+///
+/// # Errors
+/// [`RequestRejection`] in that case.
+pub(crate) fn check_arrival(gateway: &Gateway, context: &RequestContext) -> Result<(), RequestRejection> {
+    let held = gateway.lock().held_part(&gateway.settings.name, &context.caller.parts, gateway.crash_time());
+    held.map_or(Ok(()), |held| Err(held_rejection(gateway, context, 0, &held)))
+}
+
+/// Rejection of a request for a part that is held back. One that may have run gets an error that does not claim
+/// that it did not.
+fn held_rejection(
+    gateway: &Gateway,
+    context: &RequestContext,
+    runs: u32,
+    held: &HeldPart,
+) -> RequestRejection {
+    let now = gateway.crash_time();
+    if gateway.may_log() {
+        info!(gateway.logger, "request_held"; "request" => %context.caller.attempt, "part" => %held.part,
+            "crashes" => held.events, "last_crash_ms" => now.since_ms(held.last_at),
+            "upstreams" => held.upstreams_text(), "runs" => runs);
+    }
+    if runs > 0 {
+        return RequestRejection::new(ErrorKind::UpstreamFailed);
+    }
+    RequestRejection::new(ErrorKind::PromptHeld).with_retry_after(held.until.since_ms(now))
+}
+
+/// Completes once one of the parts is held back.
+pub(crate) async fn wait_until_held(gateway: &Gateway, parts: &[PartId]) {
+    loop {
+        let notified = gateway.state_changed.notified();
+        if gateway.lock().held_part(&gateway.settings.name, parts, gateway.crash_time()).is_some() {
+            return;
+        }
+        notified.await;
+    }
+}
+
+/// Finds out whether the upstream of a broken connection has ended, and records the request as a suspect if so.
+/// Returns whether it has.
+pub(crate) async fn record_break(gateway: &Gateway, context: &RequestContext, upstream: &UpstreamId) -> bool {
+    let Some((address, start)) = send_target(gateway, upstream) else { return false };
+    let has_ended = gateway.pool.refuses_connections(address).await;
+    let parts = &context.caller.parts;
+    if has_ended {
+        gateway.metrics.upstream_ends.inc();
+        let mut state = gateway.lock();
+        state.quarantine.log.record_crash(&start, parts, gateway.crash_time());
+        spread_crashes(gateway, &mut state);
+    }
+    if gateway.may_log() {
+        info!(gateway.logger, "upstream_checked"; "request" => %context.caller.attempt, "upstream" => %upstream,
+            "born" => start.born, "ended" => has_ended, "parts" => parts_text(parts));
+    }
+    has_ended
+}
+
+/// Records that an answer has begun.
+pub(crate) fn record_begin(gateway: &Gateway, context: &RequestContext) {
+    let parts = &context.caller.parts;
+    if parts.is_empty() {
+        return;
+    }
+    let mut state = gateway.lock();
+    let was_empty = state.quarantine.log.is_empty();
+    state.quarantine.log.record_begin(parts, gateway.crash_time());
+    if !was_empty {
+        spread_crashes(gateway, &mut state);
+    }
+}
+
+/// Wakes what depends on the crash log after it may have changed: waiting requests, and the task that tells other
+/// gateways. Logs parts that are held back from now on, or no longer.
+pub(crate) fn spread_crashes(gateway: &Gateway, state: &mut GatewayState) {
+    if state.quarantine.log.has_news() {
+        gateway.crashes_changed.notify_one();
+        gateway.report_now.notify_one();
+    }
+    gateway.state_changed.notify_waiters();
+    log_held_parts(gateway, state);
+}
+
+fn log_held_parts(gateway: &Gateway, state: &mut GatewayState) {
+    let now = gateway.crash_time();
+    let held = state.quarantine.log.held_parts(now);
+    gateway.metrics.held_parts.set(i64::try_from(held.len()).unwrap_or(i64::MAX));
+    for part in &held {
+        if !state.held_parts.contains(&part.part) {
+            warn!(gateway.logger, "part_held"; "part" => %part.part, "crashes" => part.events,
+                "last_crash_ms" => now.since_ms(part.last_at), "upstreams" => part.upstreams_text(),
+                "for_ms" => part.until.since_ms(now));
+        }
+    }
+    for part in &state.held_parts {
+        if !held.iter().any(|held| held.part == *part) {
+            info!(gateway.logger, "part_released"; "part" => %part);
+        }
+    }
+    state.held_parts = held.into_iter().map(|held| held.part).collect();
+}
+
+/// Drops old crashes.
+pub(crate) fn expire_crashes(gateway: &Gateway) {
+    let mut state = gateway.lock();
+    state.quarantine.log.expire(gateway.crash_time());
+    log_held_parts(gateway, &mut state);
+}
--- a/crates/cowslip-gateway/src/report_builder.rs
+++ b/crates/cowslip-gateway/src/report_builder.rs
@@ -14,6 +14,7 @@
         settings: &GatewaySettings,
         brief: bool,
         now: ClockTime,
+        crash_time: ClockTime,
     ) -> GatewayReport {
         let mut demand: Vec<DemandLine> = Vec::new();
         for arrived in std::mem::take(&mut self.arrived) {
@@ -47,6 +48,8 @@
             may_lead: !settings.weak || self.member_count() <= SMALL_FLEET,
             reaches_store: self.can_reach_store(now),
             leaving: self.upstreams.notices().leaving().cloned().collect(),
+            crashes: self.quarantine.log.unshared(crash_time),
+            crash_cursor: self.crash_cursor,
             brief,
         }
     }
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -21,6 +21,7 @@
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
 use crate::lease_task::LEASE_MS;
+use crate::part_guard::check_arrival;
 use crate::request_context::{RequestContext, admit};
 use crate::request_rejection::RequestRejection;
 use crate::response_body::ResponseBody;
@@ -92,6 +93,7 @@
     let body = timeout(Duration::from_millis(body_ms), read_body(body, limits.body_bytes)).await;
     context.body = body.unwrap_or(Err(RequestRejection::new(ErrorKind::ReadTimeout)))?;
     let admitted = admit(gateway, &context)?;
+    check_arrival(gateway, &context)?;
     let limit = WaitLimit::new(&admitted.route, context.caller.deadline_ms, arrived_at);
     let charge = match &admitted.team {
         Some(team) if team.is_limited() => {
--- a/crates/cowslip-gateway/src/request_progress.rs
+++ b/crates/cowslip-gateway/src/request_progress.rs
@@ -29,6 +29,8 @@
     pub waited_ms: u64,
     /// Reason of the last wait.
     pub cause: Option<WaitCause>,
+    /// True once the request has waited at an upstream that ended.
+    pub is_repeat: bool,
     /// Id of the last event sent to the caller, when a stream is resumed.
     pub last_event: Option<smol_str::SmolStr>,
 }
@@ -40,7 +42,7 @@
             SendOutcome::Answered(_) | SendOutcome::Withheld => {}
             SendOutcome::NotSent => self.unreached += 1,
             SendOutcome::NotRun(_) => self.refused += 1,
-            SendOutcome::Failure(_) | SendOutcome::Broken | SendOutcome::Lost(_) => {
+            SendOutcome::Failure(_) | SendOutcome::Withdrawn | SendOutcome::Broken | SendOutcome::Lost(_) => {
                 self.runs += 1;
                 self.tried.push(upstream.clone());
             }
--- a/crates/cowslip-gateway/src/send_outcome.rs
+++ b/crates/cowslip-gateway/src/send_outcome.rs
@@ -19,6 +19,8 @@
     /// The upstream reported that it did not run the request; true when it lacks the model or is another
     /// upstream.
     NotRun(bool),
+    /// Given up by the gateway, because a part of its prompt is held back from now on; the request may have run.
+    Withdrawn,
     /// The upstream broke the connection before the response; the request may have run.
     Broken,
     /// No valid response in time; the request may have run.
@@ -35,6 +37,7 @@
             Self::Withheld => "withheld",
             Self::NotRun(true) => "misplaced",
             Self::NotRun(false) => "not_run",
+            Self::Withdrawn => "withdrawn",
             Self::Broken => "broken",
             Self::Lost(_) => "lost",
         }
--- a/crates/cowslip-gateway/src/slow_call.rs
+++ b/crates/cowslip-gateway/src/slow_call.rs
@@ -17,6 +17,7 @@
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
 use crate::outcome_record::{log_outcome, record_outcome};
+use crate::part_guard::record_break;
 use crate::plain_call::plain_call;
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_flow::route_kind_name;
@@ -123,6 +124,9 @@
             outcome = call.as_mut() => match outcome {
                 SendOutcome::Answered(_) => CallEnd::Own(outcome),
                 failed => {
+                    if matches!(failed, SendOutcome::Broken) {
+                        record_break(self.gateway, self.context, &self.under_way).await;
+                    }
                     let failure = self.record_failed(failed);
                     drop(self);
                     CallEnd::TakenOver(with_failure(other.await, failure))
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -28,7 +28,7 @@
 use crate::retry_choice::{has_retry, pick_alternative};
 use crate::send_outcome::SendOutcome;
 use crate::stream_handover::{HandoverOutcome, offer_stream};
-use crate::upstream_choice::{choose_upstream, record_send};
+use crate::upstream_choice::{UpstreamChoice, choose_upstream, record_send};
 
 /// Silence in ms after which a stream is offered to another upstream, where that is allowed.
 const STALL_TIMEOUT_MS: u64 = 1_200;
@@ -313,7 +313,9 @@
             let rejected = |rejection: RequestRejection| CutCause::Rejected(rejection.kind);
             let admitted = admit(&gateway, &self.context).map_err(rejected)?;
             let chosen = choose_upstream(&gateway, &self.context, admitted, &mut self.progress).await;
-            let (chosen, admitted) = chosen.map_err(rejected)?;
+            // A stream that has begun is no suspect; another one with its parts may be tried meanwhile.
+            let UpstreamChoice { upstream: chosen, admitted, trial } = chosen.map_err(rejected)?;
+            drop(trial);
             let permit = ResumePermit::new(&gateway, &self.progress.need.service);
             let opening = self.open_next(&admitted, &chosen, &permit);
             let opened = timeout(Duration::from_millis(self.remaining_ms()), opening).await;
--- a/crates/cowslip-gateway/src/upstream_choice.rs
+++ b/crates/cowslip-gateway/src/upstream_choice.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_entry::{ModelNeed, RequestNeed, ServiceRule, UpstreamPick, WaitCause, jittered_ms, text_hash};
+use cowslip_entry::{
+    ModelNeed, PartGate, RequestNeed, ServiceRule, UpstreamPick, WaitCause, jittered_ms, text_hash,
+};
 use cowslip_units::{ClockTime, ErrorKind, ModelId, UpstreamId};
 use slog::info;
 use tokio::time::timeout;
 
 use crate::gateway_state::Gateway;
+use crate::part_guard::{TrialGuard, check_parts};
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_progress::RequestProgress;
 use crate::request_rejection::RequestRejection;
@@ -34,6 +37,17 @@
     }
 }
 
+/// An upstream that can take a request now.
+#[derive(Debug)]
+pub(crate) struct UpstreamChoice {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The request as allowed at the time of the choice.
+    pub admitted: AdmittedRequest,
+    /// Held while the request is the only one with its suspected prompt parts.
+    pub trial: Option<TrialGuard>,
+}
+
 /// True when the service's configuration does not have the model of a request.
 pub(crate) fn is_unknown_model(service: &ServiceRule, need: &RequestNeed) -> bool {
     match (&need.model, &service.engine) {
@@ -48,7 +62,7 @@
     context: &RequestContext,
     mut admitted: AdmittedRequest,
     progress: &mut RequestProgress,
-) -> Result<(UpstreamId, AdmittedRequest), RequestRejection> {
+) -> Result<UpstreamChoice, RequestRejection> {
     let begun_at = gateway.now();
     let mut ticket: Option<WaitTicket> = None;
     loop {
@@ -65,14 +79,19 @@
         if is_unknown_model(service, &progress.need) {
             return Err(RequestRejection::new(ErrorKind::ModelNotFound));
         }
-        let pick = gateway.lock().pick(&gateway.settings, service, &progress.need, &progress.tried, now);
+        let gate = check_parts(gateway, context, progress)?;
+        let pick = pick_by_gate(gateway, service, progress, &gate, now);
         let cause = match pick {
             UpstreamPick::Send(upstream) if progress.is_under_way(&upstream) => WaitCause::Full,
             UpstreamPick::Send(upstream) => {
                 record_send(gateway, service.cold_per_s, &upstream, now);
                 progress.waited_ms += now.since_ms(begun_at);
                 gateway.metrics.wait_s.observe(now.since_ms(begun_at) as f64 / 1_000.0);
-                return Ok((upstream, admitted));
+                let trial = match gate {
+                    PartGate::Trial(parts) => Some(TrialGuard::new(gateway, context, parts, &upstream)),
+                    PartGate::Open | PartGate::Wait(_) | PartGate::Closed(_) => None,
+                };
+                return Ok(UpstreamChoice { upstream, admitted, trial });
             }
             UpstreamPick::Wait(cause) => cause,
         };
@@ -100,7 +119,9 @@
             });
         }
         let poll_ms = match cause {
-            WaitCause::Cold(wait_ms) | WaitCause::Away(wait_ms) => wait_ms.clamp(1, POLL_MS),
+            WaitCause::Cold(wait_ms) | WaitCause::Away(wait_ms) | WaitCause::Suspected(wait_ms) => {
+                wait_ms.clamp(1, POLL_MS)
+            }
             WaitCause::NoModel | WaitCause::NoAdapter => {
                 let next = gateway.lock().upstreams.next_place_ms(&progress.need, now);
                 next.map_or(POLL_MS, |wait_ms| wait_ms.clamp(1, POLL_MS))
@@ -113,6 +134,29 @@
     }
 }
 
+/// Picks an upstream, as far as the request's prompt parts allow it. A trial goes to another upstream than the
+/// trials of other parts.
+fn pick_by_gate(
+    gateway: &Gateway,
+    service: &ServiceRule,
+    progress: &RequestProgress,
+    gate: &PartGate,
+    now: ClockTime,
+) -> UpstreamPick {
+    let state = gateway.lock();
+    match gate {
+        PartGate::Wait(wait_ms) => UpstreamPick::Wait(WaitCause::Suspected(*wait_ms)),
+        PartGate::Trial(_) => {
+            let mut tried = progress.tried.clone();
+            tried.extend(state.quarantine.trials.upstreams().cloned());
+            state.pick(&gateway.settings, service, &progress.need, &tried, now)
+        }
+        PartGate::Open | PartGate::Closed(_) => {
+            state.pick(&gateway.settings, service, &progress.need, &progress.tried, now)
+        }
+    }
+}
+
 /// Checks a request against the current view again, after a wait or a send.
 pub(crate) fn recheck_admission(
     gateway: &Gateway,
--- a/crates/cowslip-rpc/src/gateway_api.rs
+++ b/crates/cowslip-rpc/src/gateway_api.rs
@@ -3,7 +3,7 @@
 // The macro generates public items without documentation.
 #![allow(missing_docs)]
 
-use cowslip_entry::{GatewayReport, LeaderAnswer, ViewCopy};
+use cowslip_entry::{CrashLogCopy, GatewayReport, LeaderAnswer, ViewCopy};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
@@ -12,6 +12,9 @@
     #[method(name = "gateway_report")]
     async fn gateway_report(&self, report: GatewayReport) -> RpcResult<LeaderAnswer>;
 
+    #[method(name = "crash_news")]
+    async fn crash_news(&self, news: CrashLogCopy) -> RpcResult<()>;
+
     #[method(name = "view_copy")]
     async fn view_copy(&self) -> RpcResult<ViewCopy>;
 }
