--- a/crates/cowslip-gateway/src/held_store.rs
+++ b/crates/cowslip-gateway/src/held_store.rs
@@ -18,7 +18,7 @@
 /// Interval in ms between two checks whether the row must be read or written.
 const CHECK_MS: u64 = 250;
 
-/// Time in ms without an answer of a leader from which a gateway uses the row itself.
+/// Time in ms after the last answer of a leader from which a gateway uses the row itself.
 const LEADERLESS_MS: u64 = 1_000;
 
 /// Interval in ms between two reads of a gateway without a leader.
@@ -85,10 +85,10 @@
 fn row_role(gateway: &Gateway) -> RowRole {
     let now = gateway.now();
     let state = gateway.lock();
-    let since = state.last_leader_contact.unwrap_or(gateway.started_at);
+    let is_told = state.last_leader_contact.is_some_and(|at| now.since_ms(at) < LEADERLESS_MS);
     if state.lead.is_some() {
         RowRole::Leader
-    } else if now.since_ms(since) >= LEADERLESS_MS {
+    } else if !is_told {
         RowRole::Leaderless
     } else {
         RowRole::Follower
