--- a/crates/cowslip-ctl/src/command_tree.rs
+++ b/crates/cowslip-ctl/src/command_tree.rs
@@ -53,6 +53,11 @@
             UpstreamId::new(text).map(|_| text.to_owned())
         }))
         .subcommand(trace_command())
+        .subcommand(
+            Command::new("held")
+                .about("Shows the prompt parts that are held back, from log files; needs no settings")
+                .arg(log_files()),
+        )
         .subcommand(
             Command::new("explain")
                 .about("Shows the reasons for the placement of a model or adapter")
@@ -70,7 +75,11 @@
                 .help("Also print the state changes of the request's VMs up to its last line"),
         )
         .arg(Arg::new("id").value_name("ID").required(true).help("Id of the request"))
-        .arg(Arg::new("file").value_name("FILE").required(true).num_args(1..).help("Log files of the VMs"))
+        .arg(log_files())
+}
+
+fn log_files() -> Arg {
+    Arg::new("file").value_name("FILE").required(true).num_args(1..).help("Log files of the VMs")
 }
 
 fn sheet_file() -> Arg {
--- a/crates/cowslip-ctl/src/main.rs
+++ b/crates/cowslip-ctl/src/main.rs
@@ -10,6 +10,8 @@
 mod command_tree;
 mod controller_pool;
 mod exit_kind;
+mod held_command;
+mod log_lines;
 mod operator_client;
 mod operator_settings;
 mod outcome_wait;
@@ -48,6 +50,9 @@
     if name == "trace" {
         return trace_command::trace(args);
     }
+    if name == "held" {
+        return held_command::held(args);
+    }
     let client = OperatorClient::from_args(matches)?;
     match name {
         "diff" => sheet_commands::diff(&client, args).await,
--- a/crates/cowslip-ctl/src/trace_command.rs
+++ b/crates/cowslip-ctl/src/trace_command.rs
@@ -1,17 +1,13 @@
 //! The command `trace`: collects the log lines of one request from the log files of all VMs, in order of
 //! time.
-//!
-//! A line may be preceded by other text, as added by log collectors. Lines that contain no JSON object are
-//! skipped and counted.
-
-use std::fs;
 
 use clap::ArgMatches;
-use serde_json::{Map, Value, json};
+use serde_json::{Value, json};
 
 use crate::command_failure::CommandFailure;
 use crate::command_report::CommandReport;
 use crate::exit_kind::ExitKind;
+use crate::log_lines::{LogLine, read_lines};
 
 /// Fields that are not repeated among the details of a line.
 const COMMON_FIELDS: [&str; 6] = ["ts", "msg", "vm", "process", "level", "request"];
@@ -34,15 +30,6 @@
     "upstream_lapsed",
 ];
 
-/// A parsed log line.
-#[derive(Clone, Debug, PartialEq)]
-struct LogLine {
-    ts: String,
-    vm: String,
-    message: String,
-    fields: Map<String, Value>,
-}
-
 /// Reads the files and prints the lines of one request. With `--context`, also the state changes of its VMs.
 pub(crate) fn trace(args: &ArgMatches) -> Result<CommandReport, CommandFailure> {
     let id = args.get_one::<String>("id").cloned().unwrap_or_default();
@@ -68,30 +55,6 @@
     Ok(CommandReport::new(text, json).with_exit(exit))
 }
 
-fn read_lines(files: &[String]) -> Result<(Vec<LogLine>, usize), CommandFailure> {
-    let mut lines = Vec::new();
-    let mut skipped = 0;
-    for file in files {
-        let text = fs::read_to_string(file)
-            .map_err(|error| CommandFailure::Usage(format!("cannot read {file}: {error}")))?;
-        for line in text.lines() {
-            match log_line(line) {
-                Some(line) => lines.push(line),
-                None => skipped += 1,
-            }
-        }
-    }
-    Ok((lines, skipped))
-}
-
-fn log_line(line: &str) -> Option<LogLine> {
-    let start = line.find('{')?;
-    let Ok(Value::Object(fields)) = serde_json::from_str(line.get(start..)?) else { return None };
-    let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or_default().to_owned();
-    let (ts, vm, message) = (text("ts"), text("vm"), text("msg"));
-    Some(LogLine { ts, vm, message, fields })
-}
-
 fn line_text(line: &LogLine) -> String {
     let details = line.fields.iter().filter(|(name, _)| !COMMON_FIELDS.contains(&name.as_str()));
     let details: Vec<String> = details
--- a/crates/cowslip-ctl/tests/trace_files.rs
+++ b/crates/cowslip-ctl/tests/trace_files.rs
@@ -1,4 +1,4 @@
-//! Runs `cowslipctl trace` on log files.
+//! Runs `cowslipctl trace` and `cowslipctl held` on log files.
 
 use std::fs;
 use std::path::PathBuf;
@@ -56,3 +56,37 @@
     assert_eq!(trace(&["r9"], &[&PathBuf::from("/nowhere/log")]).status.code(), Some(2));
     fs::remove_file(file).expect("removed");
 }
+
+/// Guards against a part that is shown as held back after its release or a restart, or without its cause.
+#[test]
+fn held_parts_are_shown_with_their_cause() {
+    let first = log_file(
+        "h1",
+        &[
+            r#"{"msg":"part_held","ts":"2026-01-01T00:00:01.0Z","vm":"a","part":"p1","crashes":2,"upstreams":"i-2 i-1"}"#,
+            r#"{"msg":"part_held","ts":"2026-01-01T00:00:01.2Z","vm":"a","part":"p2","crashes":2,"upstreams":"i-3"}"#,
+            r#"{"msg":"request_held","ts":"2026-01-01T00:00:02.0Z","vm":"a","request":"r1","part":"p1","crashes":3,"upstreams":"i-9"}"#,
+            r#"{"msg":"part_released","ts":"2026-01-01T00:01:02.0Z","vm":"a","part":"p2"}"#,
+        ],
+    );
+    let second = log_file(
+        "h2",
+        &[
+            r#"{"msg":"part_held","ts":"2026-01-01T00:00:01.1Z","vm":"b","part":"p1","crashes":2,"upstreams":"i-1"}"#,
+            r#"{"msg":"started","ts":"2026-01-01T00:00:05.0Z","vm":"b"}"#,
+        ],
+    );
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cowslipctl"));
+    let output = command.arg("held").arg(&first).arg(&second).output().expect("cowslipctl");
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let rows: Vec<Vec<&str>> = text.lines().map(|line| line.split_whitespace().collect()).collect();
+    assert_eq!(
+        rows[1],
+        ["p1", "held", "2026-01-01T00:00:01.0Z", "1", "3", "i-1", "i-2", "i-9", "r1"],
+        "{text}"
+    );
+    assert_eq!(rows[2][..2], ["p2", "released"], "{text}");
+    fs::remove_file(first).expect("removed");
+    fs::remove_file(second).expect("removed");
+}
