gateway: a comment is not the begin of an answer for the quarantine

The relay records the begin with the first event, and a break before it. Requests at upstreams look at held parts when these change, and not with each change of the state.

--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -159,7 +159,8 @@
     progress.count(upstream, &outcome);
     match outcome {
         SendOutcome::Answered(response) => {
-            if response.status().is_success() {
+            // The relay of a stream tells a comment from the first event.
+            if response.status().is_success() && admitted.route.kind != RouteKind::Streaming {
                 record_begin(gateway, context);
             }
             log_answer(gateway, context, admitted, progress, upstream, response.status());
--- a/crates/cowslip-gateway/src/event_check.rs
+++ b/crates/cowslip-gateway/src/event_check.rs
@@ -41,6 +41,11 @@
         self.after.take().is_none_or(|last| is_next(&last, first))
     }
 
+    /// True once an event was read.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     /// True when an answer that ends here can be the whole stream. A resumed stream without an event does not
     /// show that the caller has all of them, and neither does a body without a length whose connection ended
     /// before the first event.
--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -65,6 +65,11 @@
 }
 
 impl EventSource {
+    /// True once the upstream has sent an event, and not only comments.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.check.has_begun()
+    }
+
     /// Waits at most `wait_ms` for complete events. Bytes of an event that is never completed do not count as
     /// progress.
     pub(crate) async fn next(&mut self, wait_ms: u64) -> NextEvents {
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -183,6 +183,8 @@
     pub state_changed: Notify,
     /// Wakes the report task.
     pub report_now: Notify,
+    /// Wakes requests that wait at upstreams while prompt parts are held back.
+    pub parts_held: Notify,
     /// Wakes the task that tells other gateways of crashes.
     pub crashes_changed: Notify,
     /// Wakes the tasks that watch the store.
@@ -211,6 +213,7 @@
             state_changed: Notify::new(),
             report_now: Notify::new(),
             crashes_changed: Notify::new(),
+            parts_held: Notify::new(),
             watch_now: Notify::new(),
             plan_now: Notify::new(),
             closing: watch::Sender::new(false),
--- a/crates/cowslip-gateway/src/part_guard.rs
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -127,7 +127,7 @@
 /// Completes once one of the parts is held back.
 pub(crate) async fn wait_until_held(gateway: &Gateway, parts: &[PartId]) {
     loop {
-        let notified = gateway.state_changed.notified();
+        let notified = gateway.parts_held.notified();
         if gateway.lock().held_part(&gateway.settings.name, parts, gateway.crash_time()).is_some() {
             return;
         }
@@ -161,9 +161,9 @@
         return;
     }
     let mut state = gateway.lock();
-    let was_empty = state.quarantine.log.is_empty();
+    let before = state.quarantine.log.cursor();
     state.quarantine.log.record_begin(parts, gateway.crash_time());
-    if !was_empty {
+    if state.quarantine.log.cursor() != before {
         spread_crashes(gateway, &mut state);
     }
 }
@@ -183,6 +183,9 @@
     let now = gateway.crash_time();
     let held = state.quarantine.log.held_parts(now);
     gateway.metrics.held_parts.set(i64::try_from(held.len()).unwrap_or(i64::MAX));
+    if !held.is_empty() {
+        gateway.parts_held.notify_waiters();
+    }
     for part in &held {
         if !state.held_parts.contains(&part.part) {
             warn!(gateway.logger, "part_held"; "part" => %part.part, "crashes" => part.events,
--- a/crates/cowslip-gateway/src/stream_relay.rs
+++ b/crates/cowslip-gateway/src/stream_relay.rs
@@ -15,10 +15,11 @@
 use crate::cut_cause::CutCause;
 use crate::dispatch::{MAX_REFUSED_SENDS, MAX_UNREACHABLE};
 use crate::event_check::last_event_id;
-use crate::event_source::{EventSource, NextEvents, SILENT, open_stream};
+use crate::event_source::{EventSource, NextEvents, SILENT, is_broken_off, open_stream};
 use crate::gateway_metrics::CutLabels;
 use crate::gateway_state::Gateway;
 use crate::outcome_record::{log_outcome, record_outcome, record_undecided};
+use crate::part_guard::{record_begin, record_break};
 use crate::plain_call::{caller_response, record_response, return_connection};
 use crate::request_context::{AdmittedRequest, RequestContext, admit};
 use crate::request_progress::RequestProgress;
@@ -85,7 +86,12 @@
         let mut source = source;
         let mut events = first;
         let mut pending = None;
+        let mut has_begun = false;
         loop {
+            if !has_begun && source.has_begun() {
+                has_begun = true;
+                record_begin(&self.gateway, &self.context);
+            }
             if let Some(id) = last_event_id(&events) {
                 self.progress.last_event = Some(id);
             }
@@ -112,6 +118,9 @@
                         (source, pending) = self.hand_over(source).await;
                     }
                     NextEvents::Broken(why) => {
+                        if !has_begun && is_broken_off(why) {
+                            record_break(&self.gateway, &self.context, &source.upstream).await;
+                        }
                         let broken = source.upstream.clone();
                         match self.resume(source, why).await {
                             Ok(next) => source = next,
