--- a/crates/cowslip-entry/src/known_upstream.rs
+++ b/crates/cowslip-entry/src/known_upstream.rs
@@ -121,7 +121,7 @@
 
     /// Calls of the whole fleet in flight.
     pub fn total(&self) -> u32 {
-        self.running + self.other_calls
+        self.running.saturating_add(self.other_calls)
     }
 
     /// True during the slow start.
--- a/crates/cowslip-entry/src/upstream_registry.rs
+++ b/crates/cowslip-entry/src/upstream_registry.rs
@@ -468,7 +468,7 @@
             let by_memory = u32::try_from(engine.kv_tokens / TYPICAL_TOKENS).unwrap_or(u32::MAX);
             known.entry.slots.min(by_memory).max(1)
         }
-        None => known.entry.slots + MAX_QUEUED_REQUESTS,
+        None => known.entry.slots.saturating_add(MAX_QUEUED_REQUESTS),
     }
 }
 
