entry: a held part is tried again after 20 s, and not after a minute

What callers would see: a rare sound part that stood in two crashes of other causes stays refused until it is tried.

--- a/crates/cowslip-units/src/error_kind.rs
+++ b/crates/cowslip-units/src/error_kind.rs
@@ -93,7 +93,7 @@
     /// No upstream can serve the request before its deadline.
     NoCapacity = 503 "no_capacity" AfterMs(2_000);
     /// A part of the prompt is held back, because upstreams ended under it.
-    PromptHeld = 503 "prompt_held" AfterMs(60_000);
+    PromptHeld = 503 "prompt_held" AfterMs(20_000);
     /// This VM cannot confirm that its view is current.
     ViewStale = 503 "view_stale" AfterMs(500);
     /// The platform's store does not answer and the request depends on it.
