--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -92,6 +92,10 @@
     let body_ms = context.caller.deadline_ms.unwrap_or(limits.idle_ms);
     let body = timeout(Duration::from_millis(body_ms), read_body(body, limits.body_bytes)).await;
     context.body = body.unwrap_or(Err(RequestRejection::new(ErrorKind::ReadTimeout)))?;
+    if *gateway.closing.borrow() {
+        // Too little of the grace period is left for a request whose body took until now.
+        return Err(RequestRejection::new(ErrorKind::Draining));
+    }
     let admitted = admit(gateway, &context)?;
     check_arrival(gateway, &context)?;
     let limit = WaitLimit::new(&admitted.route, context.caller.deadline_ms, arrived_at);
