--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -54,7 +54,9 @@
 mod trial_table;
 mod upstream_entry;
 mod upstream_freshness;
+mod upstream_pick;
 mod upstream_registry;
+mod wait_cause;
 mod wait_limit;
 
 pub use adapter_plan::adapters_of;
@@ -106,7 +108,7 @@
 pub use trial_table::TrialTable;
 pub use upstream_entry::{HeldModel, UpstreamEntry};
 pub use upstream_freshness::UpstreamFreshness;
-pub use upstream_registry::{
-    EXPIRY_HOLD_MS, PickContext, UpstreamPick, UpstreamRegistry, UpstreamUpdate, WaitCause,
-};
+pub use upstream_pick::{PickContext, UpstreamPick};
+pub use upstream_registry::{EXPIRY_HOLD_MS, UpstreamRegistry, UpstreamUpdate};
+pub use wait_cause::WaitCause;
 pub use wait_limit::WaitLimit;
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -166,6 +166,12 @@
         registry.register("timer_late_seconds", "How late own timers fire", self.timer_late_s.clone());
     }
 
+    /// Counts a call to the store.
+    pub(crate) fn count_store_call(&self, kind: &'static str, failed: bool) {
+        let outcome = if failed { "failed" } else { "ok" };
+        self.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+    }
+
     /// Text exposition of all metrics; empty when encoding fails.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/cowslip-gateway/src/held_store.rs
+++ b/crates/cowslip-gateway/src/held_store.rs
@@ -9,7 +9,6 @@
 use slog::{info, warn};
 
 use crate::crash_exchange::merge_crashes;
-use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
 
 /// Key of the row.
@@ -97,7 +96,7 @@
 
 async fn read_row(gateway: &Gateway, era: StoreEra) -> Option<HeldRow> {
     let result = gateway.store.read(HELD_KEY).await;
-    count_call(gateway, "held_read", result.is_err());
+    gateway.metrics.count_store_call("held_read", result.is_err());
     // The store is read again at the next check.
     let row = result.ok()?;
     Some(take_row(gateway, row, era))
@@ -131,7 +130,7 @@
         None => transaction.with_absent(HELD_KEY),
     };
     let result = gateway.store.commit(&transaction.with_put(HELD_KEY, text)).await;
-    count_call(gateway, "held_write", result.is_err());
+    gateway.metrics.count_store_call("held_write", result.is_err());
     log_write(gateway, held, &result.as_ref().map(|outcome| outcome.committed));
     let outcome = result.ok()?;
     if !outcome.committed {
@@ -147,8 +146,3 @@
     info!(gateway.logger, "held_parts_written"; "crashes" => held.crashes.len(),
         "committed" => result.as_ref().is_ok_and(|committed| *committed), "error" => error);
 }
-
-fn count_call(gateway: &Gateway, kind: &'static str, failed: bool) {
-    let outcome = if failed { "failed" } else { "ok" };
-    gateway.metrics.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
-}
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -22,7 +22,7 @@
 use crate::lease_task::{SMALL_FLEET, accept_handover, resign_if_store_unreachable};
 use crate::peer_clients::PeerClients;
 use crate::standalone_share::raise_fleet_size;
-use crate::store_watch::{apply_upstream_updates, apply_view_copy, view_copy};
+use crate::view_copy::{apply_upstream_updates, apply_view_copy, view_copy};
 
 /// Report interval in ms while requests wait for loads, which take a second or more.
 const LOAD_WAIT_REPORT_MS: u64 = 120;
--- a/crates/cowslip-gateway/src/lease_task.rs
+++ b/crates/cowslip-gateway/src/lease_task.rs
@@ -12,7 +12,6 @@
 use cowslip_units::{ClockTime, FencingToken, StoreEra};
 use slog::{info, warn};
 
-use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::{Gateway, GatewayState};
 use crate::leader_state::LeaderState;
 use crate::standalone_share::raise_fleet_size;
@@ -118,7 +117,7 @@
         }
         if should_probe(&gateway, now) {
             let result = gateway.store.read(LEASE_KEY).await;
-            count_store_call(&gateway, "lease_read", result.is_err());
+            gateway.metrics.count_store_call("lease_read", result.is_err());
             lease.read_answered(&result, gateway.now());
             log_lease(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
             record_probe(&gateway, result.is_ok(), now);
@@ -140,13 +139,13 @@
             }
             LeaseStep::Read => {
                 let result = gateway.store.read(LEASE_KEY).await;
-                count_store_call(&gateway, "lease_read", result.is_err());
+                gateway.metrics.count_store_call("lease_read", result.is_err());
                 lease.read_answered(&result, gateway.now());
                 log_lease(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
             }
             LeaseStep::Commit(transaction) => {
                 let result = gateway.store.commit(&transaction).await;
-                count_store_call(&gateway, "lease_write", result.is_err());
+                gateway.metrics.count_store_call("lease_write", result.is_err());
                 lease.commit_answered(&result, gateway.now());
             }
         }
@@ -168,11 +167,6 @@
         "takeover_in_ms" => lease.takeover_at().map(|at| at.since_ms(now)));
 }
 
-fn count_store_call(gateway: &Gateway, kind: &'static str, failed: bool) {
-    let outcome = if failed { "failed" } else { "ok" };
-    gateway.metrics.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
-}
-
 /// True when this gateway should leave the lead to others. Any VM can lead a small fleet.
 fn is_weak(gateway: &Gateway, state: &GatewayState) -> bool {
     gateway.settings.weak && state.member_count() > SMALL_FLEET
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! - prompt parts that end upstreams: `part_guard`, `crash_exchange`, `held_store`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
-//! - store and other gateways: `store_watch`, `leader_exchange`, `report_builder`, `peer_clients`
+//! - store and other gateways: `store_watch`, `table_rows`, `view_copy`, `leader_exchange`, `report_builder`, `peer_clients`
 //! - leader role: `lease_task`, `leader_state`, `plan_task`
 //! - logs and metrics: `gateway_log`, `gateway_metrics`
 
@@ -50,10 +50,12 @@
 mod stream_call;
 mod stream_handover;
 mod stream_relay;
+mod table_rows;
 mod upstream_choice;
 mod upstream_notice;
 mod upstream_pool;
 mod upstream_request;
+mod view_copy;
 
 pub use cowslip_runtime::SharedLimiter;
 pub use gateway_log::{LINES_PER_S, RequestLineLimiter, gateway_logger};
