--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -142,7 +142,8 @@
     let sent = gateway.pool.send(address, request, allowed).await;
     let (response, connection) = sent.map_err(|fault| fault_outcome(&fault))?;
     let (parts, body) = response.into_parts();
-    match check_and_record_head(gateway, context, &start, parts.status, &parts.headers) {
+    let is_reused = connection.is_reused;
+    match check_and_record_head(gateway, context, &start, parts.status, &parts.headers, is_reused) {
         HeadCheck::NotRun(misplaced) => {
             return_refused_connection(gateway, connection, body, &parts.headers, context).await;
             Err(SendOutcome::NotRun(misplaced))
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -40,10 +40,16 @@
 }
 
 /// Checks a response head. One with another attempt's id is a duplicate of an earlier response and says
-/// nothing about this request, not even that it did not run.
-pub(crate) fn check_head(context: &RequestContext, status: StatusCode, headers: &HeaderMap) -> HeadCheck {
+/// nothing about this request, not even that it did not run. One without an id may be such a duplicate when its
+/// connection has carried another request.
+pub(crate) fn check_head(
+    context: &RequestContext,
+    status: StatusCode,
+    headers: &HeaderMap,
+    is_reused: bool,
+) -> HeadCheck {
     let echoed = headers.get(ATTEMPT_ID).map(|value| value.as_bytes());
-    if echoed.is_some_and(|echoed| echoed != context.caller.attempt.as_bytes()) {
+    if echoed.map_or(is_reused, |echoed| echoed != context.caller.attempt.as_bytes()) {
         return HeadCheck::Mismatched;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
@@ -74,8 +80,9 @@
     start: &UpstreamStart,
     status: StatusCode,
     headers: &HeaderMap,
+    is_reused: bool,
 ) -> HeadCheck {
-    let check = check_head(context, status, headers);
+    let check = check_head(context, status, headers, is_reused);
     let attempt = &context.caller.attempt;
     let echoed = headers.get(ATTEMPT_ID).is_some_and(|echoed| echoed.as_bytes() == attempt.as_bytes());
     if check != HeadCheck::Mismatched || echoed {
@@ -104,7 +111,8 @@
         let (response, connection) = gateway.pool.send(address, request, allowed).await?;
         let first_byte_ms = gateway.now().since_ms(sent_at);
         let (parts, body) = response.into_parts();
-        Ok(match check_and_record_head(gateway, context, &start, parts.status, &parts.headers) {
+        let is_reused = connection.is_reused;
+        Ok(match check_and_record_head(gateway, context, &start, parts.status, &parts.headers, is_reused) {
             HeadCheck::NotRun(misplaced) => {
                 return_refused_connection(gateway, connection, body, &parts.headers, context).await;
                 SendOutcome::NotRun(misplaced)
--- a/crates/cowslip-gateway/src/upstream_pool.rs
+++ b/crates/cowslip-gateway/src/upstream_pool.rs
@@ -98,6 +98,8 @@
     guard: Arc<WriteGuard>,
     /// Ids of the attempts refused on it.
     refused: Vec<HeaderValue>,
+    /// True when it has carried another request before.
+    pub(crate) is_reused: bool,
 }
 
 #[derive(Debug)]
@@ -203,7 +205,7 @@
             drop(connection.await);
         });
         let task = ConnectionTask(task.abort_handle());
-        Ok(UpstreamConnection { address, sender, task, guard, refused: Vec::new() })
+        Ok(UpstreamConnection { address, sender, task, guard, refused: Vec::new(), is_reused: false })
     }
 
     /// Returns a connection whose response was read completely. `keep_alive_s` is the upstream's keep-alive
@@ -218,6 +220,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(connection.address).or_default();
         if connections.len() < MAX_IDLE {
+            let connection = UpstreamConnection { is_reused: true, ..connection };
             connections.push(IdleConnection { connection, until });
         }
     }
