--- a/crates/cowslip-ctl/src/command_tree.rs
+++ b/crates/cowslip-ctl/src/command_tree.rs
@@ -55,7 +55,7 @@
         .subcommand(trace_command())
         .subcommand(
             Command::new("held")
-                .about("Shows the prompt parts that are held back, from log files; needs no settings")
+                .about("Shows the prompt parts that are quarantined, from log files; needs no settings")
                 .arg(log_files()),
         )
         .subcommand(
--- a/crates/cowslip-ctl/src/main.rs
+++ b/crates/cowslip-ctl/src/main.rs
@@ -10,11 +10,11 @@
 mod command_tree;
 mod controller_pool;
 mod exit_kind;
-mod held_command;
 mod log_lines;
 mod operator_client;
 mod operator_settings;
 mod outcome_wait;
+mod quarantine_command;
 mod sheet_commands;
 mod status_commands;
 mod text_table;
@@ -51,7 +51,7 @@
         return trace_command::trace(args);
     }
     if name == "held" {
-        return held_command::held(args);
+        return quarantine_command::held(args);
     }
     let client = OperatorClient::from_args(matches)?;
     match name {
--- a/crates/cowslip-ctl/src/held_command.rs
+++ b/crates/cowslip-ctl/src/quarantine_command.rs
@@ -1,4 +1,4 @@
-//! The command `held`: the prompt parts that gateways hold back, and why, from the log files of all VMs.
+//! The command `held`: the prompt parts that gateways quarantine, and why, from the log files of all VMs.
 
 use clap::ArgMatches;
 use serde_json::{Value, json};
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, Default)]
 struct PartStory {
     part: String,
-    /// Time of the first line that the part is held back.
+    /// Time of the first line that the part is quarantined.
     since: String,
     /// VMs that hold it back, sorted.
     held_by: Vec<String>,
@@ -34,7 +34,7 @@
             add_sorted(&mut self.upstreams, upstream);
         }
         match line.message.as_str() {
-            "part_held" => {
+            "part_quarantined" => {
                 add_sorted(&mut self.held_by, &line.vm);
                 if self.since.is_empty() {
                     self.since.clone_from(&line.ts);
@@ -75,10 +75,10 @@
     let mut stories: Vec<PartStory> = Vec::new();
     for line in &lines {
         match line.message.as_str() {
-            "part_held" | "part_released" | "request_held" => {
+            "part_quarantined" | "part_released" | "request_quarantined" => {
                 story(&mut stories, line.text("part")).apply(line)
             }
-            // The process has forgotten what its predecessor held back.
+            // The process has forgotten what its predecessor quarantined.
             "started" => stories.iter_mut().for_each(|story| story.held_by.retain(|vm| *vm != line.vm)),
             _ => {}
         }
--- a/crates/cowslip-ctl/tests/trace_files.rs
+++ b/crates/cowslip-ctl/tests/trace_files.rs
@@ -1,4 +1,4 @@
-//! Runs `cowslipctl trace` and `cowslipctl held` on log files.
+//! Runs `cowslipctl trace` and `cowslipctl quarantine` on log files.
 
 use std::fs;
 use std::path::PathBuf;
@@ -57,22 +57,22 @@
     fs::remove_file(file).expect("removed");
 }
 
-/// Guards against a part that is shown as held back after its release or a restart, or without its cause.
+/// Guards against a part that is shown as quarantined after its release or a restart, or without its cause.
 #[test]
-fn held_parts_are_shown_with_their_cause() {
+fn quarantined_parts_are_shown_with_their_cause() {
     let first = log_file(
         "h1",
         &[
-            r#"{"msg":"part_held","ts":"2026-01-01T00:00:01.0Z","vm":"a","part":"p1","crashes":2,"upstreams":"i-2 i-1"}"#,
-            r#"{"msg":"part_held","ts":"2026-01-01T00:00:01.2Z","vm":"a","part":"p2","crashes":2,"upstreams":"i-3"}"#,
-            r#"{"msg":"request_held","ts":"2026-01-01T00:00:02.0Z","vm":"a","request":"r1","part":"p1","crashes":3,"upstreams":"i-9"}"#,
+            r#"{"msg":"part_quarantined","ts":"2026-01-01T00:00:01.0Z","vm":"a","part":"p1","crashes":2,"upstreams":"i-2 i-1"}"#,
+            r#"{"msg":"part_quarantined","ts":"2026-01-01T00:00:01.2Z","vm":"a","part":"p2","crashes":2,"upstreams":"i-3"}"#,
+            r#"{"msg":"request_quarantined","ts":"2026-01-01T00:00:02.0Z","vm":"a","request":"r1","part":"p1","crashes":3,"upstreams":"i-9"}"#,
             r#"{"msg":"part_released","ts":"2026-01-01T00:01:02.0Z","vm":"a","part":"p2"}"#,
         ],
     );
     let second = log_file(
         "h2",
         &[
-            r#"{"msg":"part_held","ts":"2026-01-01T00:00:01.1Z","vm":"b","part":"p1","crashes":2,"upstreams":"i-1"}"#,
+            r#"{"msg":"part_quarantined","ts":"2026-01-01T00:00:01.1Z","vm":"b","part":"p1","crashes":2,"upstreams":"i-1"}"#,
             r#"{"msg":"started","ts":"2026-01-01T00:00:05.0Z","vm":"b"}"#,
         ],
     );
--- a/crates/cowslip-entry/src/crash_messages.rs
+++ b/crates/cowslip-entry/src/crash_messages.rs
@@ -1,9 +1,9 @@
-//! Messages between gateways about crashes, and the stored form of the parts that are held back.
+//! Messages between gateways about crashes, and the stored form of the parts that are quarantined.
 
 use cowslip_units::PartId;
 use serde::{Deserialize, Serialize};
 
-use crate::UpstreamStart;
+use crate::{UpstreamStart, pair_weight, text_hash};
 
 /// The end of one incarnation of an upstream, and its suspects.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,4 +30,22 @@
     pub const fn is_empty(&self) -> bool {
         self.crashes.is_empty()
     }
+
+    /// Hash of the crashes; zero when there are none. Copies of equal logs have equal digests.
+    pub fn digest(&self) -> u64 {
+        self.crashes.iter().fold(0, |digest, line| {
+            let digest = mix(mix(digest, text_hash(line.start.id.as_str())), line.start.born);
+            let digest = line.suspects.iter().fold(digest, |digest, parts| mix_parts(digest, parts));
+            mix_parts(mix(digest, line.suspects.len() as u64), &line.cleared)
+        })
+    }
+}
+
+fn mix(digest: u64, value: u64) -> u64 {
+    pair_weight(digest.wrapping_add(1), value)
+}
+
+fn mix_parts(digest: u64, parts: &[PartId]) -> u64 {
+    let digest = mix(digest, parts.len() as u64);
+    parts.iter().fold(digest, |digest, part| mix(digest, text_hash(part.as_str())))
 }
--- a/crates/cowslip-entry/src/crash_record.rs
+++ b/crates/cowslip-entry/src/crash_record.rs
@@ -19,7 +19,7 @@
 pub struct CrashRecord {
     /// Incarnation that ended.
     pub start: UpstreamStart,
-    /// Time of the end, or of the news of it.
+    /// Time of the end, or of the first message about it.
     pub at: ClockTime,
     /// Shared prompt parts of each suspected request, without the cleared ones; sorted.
     suspects: Vec<Vec<PartId>>,
--- a/crates/cowslip-entry/src/part_verdict.rs
+++ b/crates/cowslip-entry/src/part_assessment.rs
@@ -2,17 +2,17 @@
 
 use cowslip_units::{ClockTime, PartId};
 
-use crate::HeldPart;
+use crate::QuarantinedPart;
 
-/// Verdict on the shared prompt parts of a request.
+/// Assessment of the shared prompt parts of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PartVerdict {
+pub enum PartAssessment {
     /// None of them is suspected.
     Clear,
     /// Some are suspected: the request may be sent with care.
     Suspected(SuspectedParts),
-    /// One of them is held back.
-    Held(HeldPart),
+    /// One of them is quarantined.
+    Quarantined(QuarantinedPart),
 }
 
 /// Suspected parts of a request.
@@ -21,7 +21,7 @@
     /// The parts, sorted.
     pub parts: Vec<PartId>,
     /// Time from which a request that waited at the crashed upstream may be sent again.
-    pub repeat_from: ClockTime,
+    pub retry_from: ClockTime,
     /// Time from which other requests may be sent.
     pub others_from: ClockTime,
 }
--- a/crates/cowslip-entry/src/part_history.rs
+++ b/crates/cowslip-entry/src/part_history.rs
@@ -8,24 +8,24 @@
 /// once, and says no more about a part than the end of one of them.
 const SAME_EVENT_MS: u64 = 50;
 
-/// Events from which a part is held back.
+/// Events from which a part is quarantined.
 const MIN_EVENTS: u32 = 2;
 
-/// Events from which a part in use is held back: a part that many requests share is at most crashes without being
+/// Events from which a part in use is quarantined: a part that many requests share is at most crashes without being
 /// their cause.
 const MIN_EVENTS_IN_USE: u32 = 3;
 
-/// Time in ms after the first crash for which a part in use is not held back: the next answer that begins on it
+/// Time in ms after the first crash for which a part in use is not quarantined: the next answer that begins on it
 /// clears it.
 const IN_USE_MS: u64 = 2_000;
 
-/// Blame in thousandths from which a part is held back: that of one crash and half of another.
+/// Blame in thousandths from which a part is quarantined: that of one crash and half of another.
 const MIN_BLAME: u32 = FULL_BLAME * 3 / 2;
 
-/// First time in ms after the last crash for which a part is held back.
-const HOLD_MS: u64 = 20_000;
+/// First time in ms after the last crash for which a part is quarantined.
+const QUARANTINE_MS: u64 = 20_000;
 
-/// Largest number of times that the hold time is doubled.
+/// Largest number of times that the quarantine time is doubled.
 const MAX_DOUBLINGS: u32 = 7;
 
 /// Crashes in which a part is suspected, since the last answer that began on it.
@@ -77,29 +77,29 @@
         self.events.first().copied().unwrap_or(self.last_at)
     }
 
-    /// Time from which the crashes are enough to hold the part back; `None` when they are not. `is_in_use` is true
+    /// Time from which the crashes are enough to quarantine the part; `None` when they are not. `is_in_use` is true
     /// for a part on which answers began shortly before the first crash.
-    pub fn convicted_at(&self, is_in_use: bool) -> Option<ClockTime> {
+    pub fn confirmed_at(&self, is_in_use: bool) -> Option<ClockTime> {
         let min_events = if is_in_use { MIN_EVENTS_IN_USE } else { MIN_EVENTS };
         let decisive = self.events.get(min_events as usize - 1).filter(|_| self.blame >= MIN_BLAME)?;
         Some(if is_in_use { self.first_at().plus_ms(IN_USE_MS).max(*decisive) } else { *decisive })
     }
 
     /// True when requests with a part in use need no care yet.
-    pub fn is_excused(&self, now: ClockTime) -> bool {
+    pub fn is_exempt(&self, now: ClockTime) -> bool {
         self.event_count() < MIN_EVENTS_IN_USE || now < self.first_at().plus_ms(IN_USE_MS)
     }
 
-    /// Time in ms after the last crash for which the part is held back. It doubles with each crash after the
+    /// Time in ms after the last crash for which the part is quarantined. It doubles with each crash after the
     /// ones that convicted it, which a trial has caused.
-    pub fn hold_ms(&self) -> u64 {
-        HOLD_MS << self.event_count().saturating_sub(MIN_EVENTS).min(MAX_DOUBLINGS)
+    pub fn quarantine_ms(&self) -> u64 {
+        QUARANTINE_MS << self.event_count().saturating_sub(MIN_EVENTS).min(MAX_DOUBLINGS)
     }
 
-    /// Time from which the part is not held back any more. The hold time is followed by another one in which only
+    /// Time from which the part is no longer quarantined. The quarantine time is followed by another one in which only
     /// one gateway tries the part.
     pub fn released_at(&self) -> ClockTime {
-        self.last_at.plus_ms(2 * self.hold_ms())
+        self.last_at.plus_ms(2 * self.quarantine_ms())
     }
 }
 
--- a/crates/cowslip-entry/src/part_quarantine.rs
+++ b/crates/cowslip-entry/src/part_quarantine.rs
@@ -1,16 +1,16 @@
 //! Decides whether a request may be sent, by the prompt parts that it shares with requests under which upstreams
 //! ended.
 //!
-//! A part with enough crashes is held back. Before that, and when its hold time is over, requests with it are
+//! A part with enough crashes is quarantined. Before that, and when its quarantine time is over, requests with it are
 //! sent one at a time and apart from each other: the begin of an answer clears the part, another crash convicts
 //! it.
 
 use cowslip_units::{ClockTime, PartId, UpstreamId};
 
-use crate::HeldPart;
-use crate::crash_log::{CrashLog, FleetMembers};
-use crate::part_verdict::PartVerdict;
+use crate::crash_log::CrashLog;
+use crate::part_assessment::PartAssessment;
 use crate::trial_table::TrialTable;
+use crate::{FleetMembers, QuarantinedPart};
 
 /// Time in ms after which a request that waits for another one's trial looks again, unless it is woken.
 const TRIAL_POLL_MS: u64 = 100;
@@ -25,7 +25,7 @@
     /// It must wait this many ms, or until the crash log changes.
     Wait(u64),
     /// It must not be sent.
-    Closed(HeldPart),
+    Closed(QuarantinedPart),
 }
 
 /// Crashes, and trials of suspected parts, at one gateway.
@@ -43,23 +43,23 @@
         Self::default()
     }
 
-    /// Decides on a request with these sorted shared parts. `is_repeat` is true when it waited at an upstream that
+    /// Decides on a request with these sorted shared parts. `is_retry` is true when it waited at an upstream that
     /// crashed.
     pub fn gate(
         &self,
         parts: &[PartId],
-        is_repeat: bool,
+        is_retry: bool,
         fleet: FleetMembers<'_>,
         now: ClockTime,
     ) -> PartGate {
         if parts.is_empty() || self.log.is_empty() {
             return PartGate::Open;
         }
-        match self.log.judge(parts, fleet, now) {
-            PartVerdict::Clear => PartGate::Open,
-            PartVerdict::Held(held) => PartGate::Closed(held),
-            PartVerdict::Suspected(suspected) => {
-                let from = if is_repeat { suspected.repeat_from } else { suspected.others_from };
+        match self.log.assess(parts, fleet, now) {
+            PartAssessment::Clear => PartGate::Open,
+            PartAssessment::Quarantined(part) => PartGate::Closed(part),
+            PartAssessment::Suspected(suspected) => {
+                let from = if is_retry { suspected.retry_from } else { suspected.others_from };
                 if now < from {
                     PartGate::Wait(from.since_ms(now))
                 } else if self.trials.is_tried(&suspected.parts) {
@@ -72,13 +72,18 @@
     }
 
     /// The part that forbids to send a request with these shared parts; `None` when there is none.
-    pub fn held_part(&self, parts: &[PartId], fleet: FleetMembers<'_>, now: ClockTime) -> Option<HeldPart> {
+    pub fn quarantined_part(
+        &self,
+        parts: &[PartId],
+        fleet: FleetMembers<'_>,
+        now: ClockTime,
+    ) -> Option<QuarantinedPart> {
         if parts.is_empty() || self.log.is_empty() {
             return None;
         }
-        match self.log.judge(parts, fleet, now) {
-            PartVerdict::Held(held) => Some(held),
-            PartVerdict::Clear | PartVerdict::Suspected(_) => None,
+        match self.log.assess(parts, fleet, now) {
+            PartAssessment::Quarantined(part) => Some(part),
+            PartAssessment::Clear | PartAssessment::Suspected(_) => None,
         }
     }
 
--- a/crates/cowslip-entry/src/held_part.rs
+++ b/crates/cowslip-entry/src/quarantined_part.rs
@@ -1,4 +1,4 @@
-//! A prompt part that is held back, and why.
+//! A prompt part that is quarantined, and why.
 
 use std::fmt;
 
@@ -11,21 +11,21 @@
 
 /// A prompt part that no request may carry to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HeldPart {
+pub struct QuarantinedPart {
     /// The part.
     pub part: PartId,
     /// Crashes at different times under it.
     pub events: u32,
     /// Time of the last one.
     pub last_at: ClockTime,
-    /// Time until which it is held back.
+    /// Time until which it is quarantined.
     pub until: ClockTime,
     /// Upstreams that ended.
     pub upstreams: Vec<UpstreamId>,
 }
 
-impl HeldPart {
-    /// A part that is held back for its history.
+impl QuarantinedPart {
+    /// A part that is quarantined for its history.
     pub fn new(part: &PartId, history: PartHistory) -> Self {
         Self {
             part: part.clone(),
@@ -43,7 +43,7 @@
     }
 }
 
-impl fmt::Display for HeldPart {
+impl fmt::Display for QuarantinedPart {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}: {} crashes", self.part, self.events)
     }
--- a/crates/cowslip-entry/src/trial_table.rs
+++ b/crates/cowslip-entry/src/trial_table.rs
@@ -1,6 +1,6 @@
 //! Requests of this gateway that are sent although one of their prompt parts is suspected.
 //!
-//! There is one at a time for each part, so that a deadly part ends one upstream and not several, and so that a
+//! There is one at a time for each part, so that a poison part ends one upstream and not several, and so that a
 //! crash has as few suspects as possible.
 
 use cowslip_units::{PartId, UpstreamId};
--- a/crates/cowslip-entry/tests/entry/crash_cases.rs
+++ b/crates/cowslip-entry/tests/entry/crash_cases.rs
@@ -1,7 +1,7 @@
-//! Which prompt parts are suspected, held back, tried and released.
+//! Which prompt parts are suspected, quarantined, tried and released.
 
 use cowslip_entry::{
-    CrashLog, FleetMembers, PartBegins, PartGate, PartQuarantine, PartVerdict, UpstreamStart, hash_rank,
+    CrashLog, FleetMembers, PartAssessment, PartBegins, PartGate, PartQuarantine, UpstreamStart, hash_rank,
     text_hash,
 };
 use cowslip_units::{ClockTime, PartId, UpstreamId};
@@ -13,8 +13,8 @@
 /// Time in ms between two crashes of these tests.
 const GAP_MS: u64 = 1_000;
 
-/// Time in ms for which a part is held back after the crashes that convicted it.
-const HOLD_MS: u64 = 20_000;
+/// Time in ms for which a part is quarantined after the crashes that confirmed it.
+const QUARANTINE_MS: u64 = 20_000;
 
 fn part(text: &str) -> PartId {
     PartId::new(text).expect("a part")
@@ -56,50 +56,50 @@
 }
 
 /// What the log says about a request some time after the last of `crashes` crashes.
-fn verdict(log: &CrashLog, request: &str, crashes: usize) -> &'static str {
+fn assessment(log: &CrashLog, request: &str, crashes: usize) -> &'static str {
     let members = names(3);
-    match log.judge(&parts(request), alone(&members), crash_at(crashes - 1).plus_ms(GAP_MS)) {
-        PartVerdict::Clear => "clear",
-        PartVerdict::Suspected(_) => "suspected",
-        PartVerdict::Held(_) => "held",
+    match log.assess(&parts(request), alone(&members), crash_at(crashes - 1).plus_ms(GAP_MS)) {
+        PartAssessment::Clear => "clear",
+        PartAssessment::Suspected(_) => "suspected",
+        PartAssessment::Quarantined(_) => "quarantined",
     }
 }
 
 /// Guards against holding the wrong parts back, and against not holding back a part that ends upstreams.
 #[rstest]
 #[case::one_crash_is_no_proof(&["p"], "p", "suspected")]
-#[case::two_crashes(&["p", "p"], "p", "held")]
+#[case::two_crashes(&["p", "p"], "p", "quarantined")]
 #[case::another_part(&["p", "p"], "q", "clear")]
 #[case::no_shared_part(&["p", "p"], "", "clear")]
-#[case::beside_others(&["p", "p"], "a p z", "held")]
-#[case::never_seen_apart(&["a b p", "a b p"], "a b p", "held")]
+#[case::beside_others(&["p", "p"], "a p z", "quarantined")]
+#[case::never_seen_apart(&["a b p", "a b p"], "a b p", "quarantined")]
 #[case::common_part_alone(&["a b p", "a b p"], "a x", "suspected")]
 #[case::rare_part_alone(&["a b p", "a b p"], "a b", "suspected")]
-#[case::other_companions(&["a b p", "a c p"], "a p", "held")]
+#[case::other_companions(&["a b p", "a c p"], "a p", "quarantined")]
 #[case::companion_of_one_crash(&["a b p", "a c p"], "b", "suspected")]
-#[case::tried_apart(&["a b p", "a b p", "p"], "p", "held")]
+#[case::tried_apart(&["a b p", "a b p", "p"], "p", "quarantined")]
 #[case::tried_apart_the_other(&["a b p", "a b p", "p"], "a b", "suspected")]
-#[case::blame_shared_once(&["p, q", "p"], "p", "held")]
+#[case::blame_shared_once(&["p, q", "p"], "p", "quarantined")]
 #[case::blame_shared_once_of_the_other(&["p, q", "p"], "q", "suspected")]
 #[case::blame_shared_twice(&["p, q", "p, q"], "p", "suspected")]
-#[case::blame_of_three(&["p, q", "p, r", "p, s"], "p", "held")]
-#[case::two_deadly_parts(&["p", "q", "p", "q"], "q", "held")]
-#[case::two_deadly_parts_the_other(&["p", "q", "p", "q"], "p", "held")]
-#[case::two_deadly_parts_at_one_upstream(&["p, q", "p", "q"], "q", "held")]
-fn parts_are_judged_by_their_crashes(
+#[case::blame_of_three(&["p, q", "p, r", "p, s"], "p", "quarantined")]
+#[case::two_poison_parts(&["p", "q", "p", "q"], "q", "quarantined")]
+#[case::two_poison_parts_the_other(&["p", "q", "p", "q"], "p", "quarantined")]
+#[case::two_poison_parts_at_one_upstream(&["p, q", "p", "q"], "q", "quarantined")]
+fn parts_are_assessed_by_their_crashes(
     #[case] crashes: &[&str],
     #[case] request: &str,
     #[case] expected: &str,
 ) {
-    assert_eq!(verdict(&crashed(crashes), request, crashes.len()), expected);
+    assert_eq!(assessment(&crashed(crashes), request, crashes.len()), expected);
 }
 
 /// Guards against holding back sound parts that stood beside the cause: an answer that began on them later
 /// clears them, and the blame falls on what is left.
 #[rstest]
 #[case::cleared(&["a p", "a p"], "a", "a x", "clear")]
-#[case::the_rest_is_held(&["a p", "a p"], "a", "p x", "held")]
-#[case::rivals_cleared(&["p, q", "p, q"], "q", "p", "held")]
+#[case::the_rest_is_quarantined(&["a p", "a p"], "a", "p x", "quarantined")]
+#[case::rivals_cleared(&["p, q", "p, q"], "q", "p", "quarantined")]
 #[case::all_cleared(&["p", "p"], "p", "p", "clear")]
 fn a_begun_answer_clears_its_parts(
     #[case] crashes: &[&str],
@@ -109,7 +109,7 @@
 ) {
     let mut log = crashed(crashes);
     log.record_begin(&parts(begun), crash_at(crashes.len() - 1).plus_ms(10));
-    assert_eq!(verdict(&log, request, crashes.len()), expected);
+    assert_eq!(assessment(&log, request, crashes.len()), expected);
 }
 
 /// Guards against counting crashes from before the last answer that began on a part.
@@ -118,10 +118,10 @@
     let mut log = crashed(&["p"]);
     log.record_begin(&parts("p"), crash_at(0).plus_ms(10));
     log.record_crash(&start(1), &parts("p"), crash_at(1));
-    assert_eq!(verdict(&log, "p", 2), "clear", "in use, and one crash");
+    assert_eq!(assessment(&log, "p", 2), "clear", "in use, and one crash");
     log.record_crash(&start(2), &parts("p"), crash_at(2));
     log.record_crash(&start(3), &parts("p"), crash_at(3));
-    assert_eq!(verdict(&log, "p", 4), "held", "three crashes of a part that was in use");
+    assert_eq!(assessment(&log, "p", 4), "quarantined", "three crashes of a part that was in use");
 }
 
 /// Guards against suspecting what many requests share after each crash of another cause, and against never
@@ -130,9 +130,9 @@
 fn a_part_in_use_is_left_alone_until_its_third_crash() {
     let mut log = CrashLog::new();
     log.record_begin(&parts("a"), at(500));
-    for (number, expected) in [(0, "clear"), (1, "clear"), (2, "held"), (3, "held")] {
+    for (number, expected) in [(0, "clear"), (1, "clear"), (2, "quarantined"), (3, "quarantined")] {
         log.record_crash(&start(number), &parts(&format!("a b{number}")), crash_at(number as usize));
-        assert_eq!(verdict(&log, "a x", number as usize + 1), expected, "crash {number}");
+        assert_eq!(assessment(&log, "a x", number as usize + 1), expected, "crash {number}");
     }
 }
 
@@ -143,14 +143,14 @@
     for number in 0..10 {
         log.record_crash(&start(number), &parts("p"), at(1_000 + number * 4));
     }
-    assert_eq!(verdict(&log, "p", 1), "suspected");
+    assert_eq!(assessment(&log, "p", 1), "suspected");
     log.record_crash(&start(11), &parts("p"), crash_at(1));
-    assert_eq!(verdict(&log, "p", 2), "held");
+    assert_eq!(assessment(&log, "p", 2), "quarantined");
 }
 
 /// Guards against refusing requests while the begin of an answer that clears them is on its way.
 #[test]
-fn convicted_parts_only_wait_at_first() {
+fn confirmed_parts_only_wait_at_first() {
     let log = crashed(&["p", "p"]);
     let (members, now) = (names(1), crash_at(1).plus_ms(550));
     let quarantine = PartQuarantine { log, ..PartQuarantine::new() };
@@ -184,48 +184,48 @@
     assert!(matches!(gate, PartGate::Trial(_)), "{gate:?}");
 }
 
-/// Guards against a part that stays held back for ever, and against several gateways that try it at once.
+/// Guards against a part that stays quarantined for ever, and against several gateways that try it at once.
 #[test]
 fn one_gateway_tries_a_part_after_its_hold_time() {
     let members = names(5);
     let log = crashed(&["p", "p"]);
-    let end = crash_at(1).plus_ms(HOLD_MS);
-    let held_by = |now: ClockTime| {
-        let is_held = |own_name: &SmolStr| {
+    let end = crash_at(1).plus_ms(QUARANTINE_MS);
+    let quarantined_by = |now: ClockTime| {
+        let is_quarantined = |own_name: &SmolStr| {
             let fleet = FleetMembers { own_name, members: &members };
-            matches!(log.judge(&parts("p"), fleet, now), PartVerdict::Held(_))
+            matches!(log.assess(&parts("p"), fleet, now), PartAssessment::Quarantined(_))
         };
-        members.iter().filter(|name| is_held(name)).count()
+        members.iter().filter(|name| is_quarantined(name)).count()
     };
-    assert_eq!(held_by(end.minus_ms(1)), 5);
-    assert_eq!(held_by(end), 4);
+    assert_eq!(quarantined_by(end.minus_ms(1)), 5);
+    assert_eq!(quarantined_by(end), 4);
     let owner = members.iter().find(|name| hash_rank(text_hash("p"), name, &members) == 0);
     let fleet = FleetMembers { own_name: owner.expect("an owner"), members: &members };
-    assert!(matches!(log.judge(&parts("p"), fleet, end), PartVerdict::Suspected(_)));
+    assert!(matches!(log.assess(&parts("p"), fleet, end), PartAssessment::Suspected(_)));
 }
 
-/// Guards against trials that end upstreams as often as before: each doubles the hold time.
+/// Guards against trials that end upstreams as often as before: each doubles the quarantine time.
 #[test]
 fn a_failed_trial_doubles_the_hold_time() {
     let mut log = crashed(&["p", "p"]);
     let mut last = crash_at(1);
-    let mut hold_ms = HOLD_MS;
+    let mut quarantine_ms = QUARANTINE_MS;
     for number in 2..12 {
-        last = last.plus_ms(hold_ms);
+        last = last.plus_ms(quarantine_ms);
         log.expire(last);
         log.record_crash(&start(number), &parts("p"), last);
-        hold_ms = (hold_ms * 2).min(HOLD_MS * 128);
-        let held = log.held_parts(last);
-        assert_eq!(held.len(), 1, "crash {number}");
-        assert_eq!(held[0].until.since_ms(last), 2 * hold_ms, "crash {number}");
-        assert_eq!(held[0].events as u64, number + 1);
+        quarantine_ms = (quarantine_ms * 2).min(QUARANTINE_MS * 128);
+        let quarantined = log.quarantined_parts(last);
+        assert_eq!(quarantined.len(), 1, "crash {number}");
+        assert_eq!(quarantined[0].until.since_ms(last), 2 * quarantine_ms, "crash {number}");
+        assert_eq!(quarantined[0].events as u64, number + 1);
     }
 }
 
 /// Guards against remembering for ever what nobody asks for any more.
 #[rstest]
 #[case::suspected(&["p"], 600_000)]
-#[case::held(&["p", "p"], 2 * HOLD_MS)]
+#[case::quarantined(&["p", "p"], 2 * QUARANTINE_MS)]
 fn crashes_are_forgotten(#[case] crashes: &[&str], #[case] after_ms: u64) {
     let mut log = crashed(crashes);
     let last = crash_at(crashes.len() - 1);
@@ -234,18 +234,18 @@
     log.expire(last.plus_ms(after_ms));
     assert!(log.is_empty(), "{log:?}");
     let members = names(1);
-    assert_eq!(log.judge(&parts("p"), alone(&members), last.plus_ms(after_ms)), PartVerdict::Clear);
+    assert_eq!(log.assess(&parts("p"), alone(&members), last.plus_ms(after_ms)), PartAssessment::Clear);
 }
 
-/// Guards against a released part that stays held back because another suspect of its crashes is remembered.
+/// Guards against a released part that stays quarantined because another suspect of its crashes is remembered.
 #[test]
 fn a_released_part_is_clear_beside_remembered_suspects() {
     let mut log = crashed(&["p", "p, q"]);
-    let end = crash_at(1).plus_ms(2 * HOLD_MS);
+    let end = crash_at(1).plus_ms(2 * QUARANTINE_MS);
     log.expire(end);
     let members = names(1);
-    assert_eq!(log.judge(&parts("p"), alone(&members), end), PartVerdict::Clear);
-    assert!(matches!(log.judge(&parts("q"), alone(&members), end), PartVerdict::Suspected(_)));
+    assert_eq!(log.assess(&parts("p"), alone(&members), end), PartAssessment::Clear);
+    assert!(matches!(log.assess(&parts("q"), alone(&members), end), PartAssessment::Suspected(_)));
 }
 
 /// Guards against gateways that disagree, or that bring back what another one has cleared.
@@ -258,13 +258,13 @@
     right.merge(&left.copy(crash_at(1)), crash_at(1));
     right.record_begin(&parts("a"), crash_at(1).plus_ms(10));
     left.merge(&right.copy(now), now);
-    assert_eq!(left.digest(), right.digest());
-    assert_eq!(left.copy(now).digest(), right.digest());
+    assert_eq!(left.copy(now).digest(), right.copy(now).digest());
+    assert_eq!(left.copy(now).digest(), right.copy(now).digest());
     let before = left.clone();
     left.merge(&right.copy(now), now);
     assert_eq!(left, before);
-    assert_eq!(verdict(&left, "a x", 4), "clear");
-    assert_eq!(verdict(&left, "p", 4), "held");
+    assert_eq!(assessment(&left, "a x", 4), "clear");
+    assert_eq!(assessment(&left, "p", 4), "quarantined");
 }
 
 /// Guards against a gateway that was away and brings back a part that the others have cleared since.
@@ -284,9 +284,9 @@
     assert!(stale.is_empty(), "{stale:?}");
 }
 
-/// Guards against logs that never agree because news of a crash take different times to different gateways.
+/// Guards against logs that never agree because messages about a crash take different times to different gateways.
 #[test]
-fn logs_agree_when_a_begin_lies_between_the_crash_and_its_news() {
+fn logs_agree_when_a_begin_lies_between_the_crash_and_the_message() {
     let mut first = CrashLog::new();
     first.record_crash(&start(0), &parts("a p"), at(1_000));
     let mut second = CrashLog::new();
@@ -298,25 +298,25 @@
         first.merge(&copies[1], now);
         second.merge(&copies[0], now);
     }
-    assert_eq!(first.digest(), second.digest());
-    assert_eq!(verdict(&second, "a", 1), "clear");
+    assert_eq!(first.copy(at(2_000)).digest(), second.copy(at(2_000)).digest());
+    assert_eq!(assessment(&second, "a", 1), "clear");
 }
 
 /// Guards against telling the whole fleet at once of each crash, whatever its suspects.
 #[test]
-fn only_suspects_with_unknown_parts_are_news() {
+fn only_suspects_with_unknown_parts_are_urgent() {
     let mut log = CrashLog::new();
     log.record_begin(&parts("a b"), at(500));
     log.record_crash(&start(0), &parts("a b"), at(1_000));
-    assert_eq!(log.take_news(at(1_000)), None);
+    assert_eq!(log.take_urgent(at(1_000)), None);
     log.record_crash(&start(1), &parts("a p"), at(1_100));
-    assert_eq!(log.take_news(at(1_100)).map(|copy| copy.crashes.len()), Some(1));
+    assert_eq!(log.take_urgent(at(1_100)).map(|copy| copy.crashes.len()), Some(1));
     log.record_crash(&start(1), &parts("a p"), at(1_101));
-    assert_eq!(log.take_news(at(1_102)), None);
+    assert_eq!(log.take_urgent(at(1_102)), None);
 }
 
 /// Guards against a log that grows with the number of prompts, crashes and requests, or forgets a part that is
-/// held back over crashes of other causes.
+/// quarantined over crashes of other causes.
 #[test]
 fn the_log_is_bounded() {
     let mut log = crashed(&["p", "p"]);
@@ -330,7 +330,7 @@
     let copy = log.copy(now);
     let ids: usize = copy.crashes.iter().flat_map(|line| &line.suspects).map(Vec::len).sum();
     assert!(copy.crashes.len() <= 128 && ids <= 128 * 128, "{} crashes, {ids} parts", copy.crashes.len());
-    assert_eq!(log.held_parts(now).len(), 1);
+    assert_eq!(log.quarantined_parts(now).len(), 1);
     let mut begins = PartBegins::default();
     for number in 0..100_000 {
         begins.record(&part(&format!("{number:x}")), at(number));
@@ -341,15 +341,18 @@
 
 /// Guards against a part that reaches upstreams again after all gateways have ended at once.
 #[test]
-fn only_held_parts_are_stored() {
+fn only_quarantined_parts_are_stored() {
     let log = crashed(&["a p", "a p", "q"]);
     let now = crash_at(3);
-    let copy = log.held_copy(now);
+    let copy = log.quarantined_copy(now);
     let stored: Vec<_> = copy.crashes.iter().flat_map(|line| line.suspects.clone()).collect();
     assert_eq!(stored, [parts("a p"), parts("a p")]);
     let mut restarted = CrashLog::new();
     restarted.merge(&copy, at(1_000_000));
     let members = names(1);
-    assert!(matches!(restarted.judge(&parts("a p"), alone(&members), at(1_000_500)), PartVerdict::Held(_)));
-    assert!(restarted.held_copy(at(1_000_500)).crashes.len() == 2);
+    assert!(matches!(
+        restarted.assess(&parts("a p"), alone(&members), at(1_000_500)),
+        PartAssessment::Quarantined(_)
+    ));
+    assert!(restarted.quarantined_copy(at(1_000_500)).crashes.len() == 2);
 }
--- a/crates/cowslip-entry/tests/entry/quarantine_runs.rs
+++ b/crates/cowslip-entry/tests/entry/quarantine_runs.rs
@@ -1,8 +1,8 @@
 //! Fleets of gateways before engines that end under some prompts and for other causes, in virtual time.
 //!
 //! Gateways tell each other of crashes with delays and losses, and through a leader that is lost at times;
-//! gateways are killed and frozen. The checks: how many requests with a deadly part reach engines once five
-//! engines have ended under it, how many engines end, and how many sound requests are held back.
+//! gateways are killed and frozen. The checks: how many requests with a poison part reach engines once five
+//! engines have ended under it, how many engines end, and how many sound requests are quarantined.
 
 use cowslip_entry::{
     CrashLogCopy, FleetMembers, PartGate, PartQuarantine, UpstreamStart, report_interval_ms,
@@ -20,13 +20,13 @@
 /// Time of the first request; later than any age in a message.
 const BEGIN_MS: u64 = 100_000_000;
 const LENGTH_MS: u64 = 26_000;
-/// Time within which deadly requests come.
-const DEADLY_MS: (u64, u64) = (4_000, 24_000);
+/// Time within which poison requests come.
+const POISON_MS: (u64, u64) = (4_000, 24_000);
 /// Requests that may reach engines after the fifth crash and `contact_ms`.
 const MAX_LATER: usize = 3;
-/// Engines of one deadly part that may end before that counts.
+/// Engines of one poison part that may end before that counts.
 const MAX_ENDS: usize = 5;
-/// Mean number of engines that end under a deadly part of a small fleet.
+/// Mean number of engines that end under a poison part of a small fleet.
 const MEAN_ENDS: usize = 5;
 /// Time in ms for which an engine is down.
 const DOWN_MS: u64 = 3_000;
@@ -65,7 +65,7 @@
     Silent,
     /// A begun answer clears nothing.
     NoClearing,
-    /// Nothing is held back or tried with care.
+    /// Nothing is quarantined or tried with care.
     Open,
 }
 
@@ -75,22 +75,22 @@
     gateways: usize,
     engines: usize,
     per_s: f64,
-    /// Share of deadly requests by part.
-    deadly: &'static [f64],
+    /// Share of poison requests by part.
+    poison: &'static [f64],
     contact_ms: u64,
 }
 
-const SMALL: Load = Load { gateways: 8, engines: 9, per_s: 24.0, deadly: &[0.03], contact_ms: 3_000 };
-const LARGE: Load = Load { gateways: 300, engines: 320, per_s: 600.0, deadly: &[0.025], contact_ms: 5_000 };
+const SMALL: Load = Load { gateways: 8, engines: 9, per_s: 24.0, poison: &[0.03], contact_ms: 3_000 };
+const LARGE: Load = Load { gateways: 300, engines: 320, per_s: 600.0, poison: &[0.025], contact_ms: 5_000 };
 
 #[derive(Clone, Debug)]
 struct Request {
     gateway: usize,
     parts: Vec<PartId>,
-    /// Index of its deadly part.
-    deadly: Option<usize>,
+    /// Index of its poison part.
+    poison: Option<usize>,
     arrived_at: ClockTime,
-    is_repeat: bool,
+    is_retry: bool,
     trial: Option<u64>,
 }
 
@@ -119,7 +119,7 @@
 /// Kind of a message, with the cursor in the leader's log where there is one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum MessageKind {
-    News,
+    Update,
     Report(u64),
     Answer(u64),
 }
@@ -139,9 +139,9 @@
 /// What happened in a run.
 #[derive(Clone, Debug, Default)]
 struct Outcome {
-    /// Times of the ends under each deadly part.
+    /// Times of the ends under each poison part.
     ends: Vec<Vec<ClockTime>>,
-    /// Sends of requests with each deadly part, with the start of the sending gateway.
+    /// Sends of requests with each poison part, with the start of the sending gateway.
     sends: Vec<Vec<(ClockTime, ClockTime)>>,
     sound: usize,
     sound_refused: usize,
@@ -175,13 +175,13 @@
     PartId::new(text).expect("a part")
 }
 
-fn deadly_part(number: usize) -> PartId {
+fn poison_part(number: usize) -> PartId {
     part(&format!("dead{number}"))
 }
 
 impl Run {
     fn new(load: Load, faults: Faults, policy: Policy, seed: u64) -> Self {
-        let kinds = load.deadly.len();
+        let kinds = load.poison.len();
         Self {
             load,
             faults,
@@ -247,13 +247,13 @@
             let second =
                 self.random.random_range(0..SHARED.1) * self.random.random_range(1..=SHARED.1) / SHARED.1;
             let mut parts = vec![part(&format!("a{first}")), part(&format!("b{second:02}"))];
-            let mut deadly = None;
-            for (number, share) in self.load.deadly.iter().enumerate() {
-                let is_time = (DEADLY_MS.0..DEADLY_MS.1).contains(&millis);
-                if deadly.is_none() && is_time && self.random.random_bool(*share) {
-                    deadly = Some(number);
+            let mut poison = None;
+            for (number, share) in self.load.poison.iter().enumerate() {
+                let is_time = (POISON_MS.0..POISON_MS.1).contains(&millis);
+                if poison.is_none() && is_time && self.random.random_bool(*share) {
+                    poison = Some(number);
                     // Beside the same rare part, as a longer prompt.
-                    parts = vec![part("a0"), part("b59"), deadly_part(number)];
+                    parts = vec![part("a0"), part("b59"), poison_part(number)];
                 }
             }
             parts.sort();
@@ -261,13 +261,13 @@
             if now < self.gateways[gateway].down_until {
                 continue;
             }
-            self.outcome.sound += usize::from(deadly.is_none());
+            self.outcome.sound += usize::from(poison.is_none());
             self.waiting.push(Request {
                 gateway,
                 parts,
-                deadly,
+                poison,
                 arrived_at: now,
-                is_repeat: false,
+                is_retry: false,
                 trial: None,
             });
         }
@@ -279,12 +279,12 @@
         }
         let fleet = FleetMembers { own_name: &self.names[request.gateway], members: &self.names };
         let quarantine = &self.gateways[request.gateway].quarantine;
-        quarantine.gate(&request.parts, request.is_repeat, fleet, now)
+        quarantine.gate(&request.parts, request.is_retry, fleet, now)
     }
 
     fn dispatch(&mut self, now: ClockTime) {
         for mut request in std::mem::take(&mut self.waiting) {
-            let is_sound = request.deadly.is_none();
+            let is_sound = request.poison.is_none();
             let suspects = match self.gate(&request, now) {
                 PartGate::Closed(_) => {
                     self.outcome.sound_refused += usize::from(is_sound);
@@ -312,7 +312,7 @@
                 let id = UpstreamId::new(&format!("e{engine}")).expect("an id");
                 request.trial = Some(self.gateways[request.gateway].quarantine.begin_trial(parts, &id));
             }
-            if let Some(number) = request.deadly {
+            if let Some(number) = request.poison {
                 let up_since = self.gateways[request.gateway].up_since;
                 self.outcome.sends[number].push((now, up_since));
             }
@@ -328,7 +328,7 @@
                 waiting.into_iter().partition(|sent| sent.begins_at <= now);
             self.engines[engine].waiting = later;
             for (index, sent) in due.iter().enumerate() {
-                if let Some(number) = sent.request.deadly {
+                if let Some(number) = sent.request.poison {
                     self.outcome.ends[number].push(now);
                     self.engines[engine].waiting.extend(due[index..].iter().cloned());
                     self.end_engine(engine, now);
@@ -366,8 +366,8 @@
             }
             gateway.quarantine.log.record_crash(&start, &request.parts, now);
             // Routes allow two attempts.
-            if !request.is_repeat {
-                request.is_repeat = true;
+            if !request.is_retry {
+                request.is_retry = true;
                 self.waiting.push(request);
             }
         }
@@ -391,10 +391,10 @@
             if now < self.gateways[gateway].down_until {
                 continue;
             }
-            if let Some(copy) = self.gateways[gateway].quarantine.log.take_news(now) {
+            if let Some(copy) = self.gateways[gateway].quarantine.log.take_urgent(now) {
                 for _ in 0..FANOUT {
                     let to = self.random.random_range(0..count);
-                    self.send(gateway, to, copy.clone(), MessageKind::News, now);
+                    self.send(gateway, to, copy.clone(), MessageKind::Update, now);
                 }
             }
             let sender = &mut self.gateways[gateway];
@@ -421,7 +421,7 @@
             let log = &mut receiver.quarantine.log;
             log.merge(&copy, now);
             match kind {
-                MessageKind::News => {}
+                MessageKind::Update => {}
                 MessageKind::Report(cursor) => {
                     let (answer, cursor) = (log.changes_since(cursor, now), log.cursor());
                     self.send(to, from, answer, MessageKind::Answer(cursor), now);
@@ -438,24 +438,24 @@
 const CALM: Faults = Faults { ends_per_s: 0.0, mass_ends: &[], kills: &[], leaderless: None, lost: 0.0 };
 
 /// Guards against a part that goes on ending engines, whatever else happens, and against sound requests that are
-/// held back with it.
+/// quarantined with it.
 #[rstest]
 #[case::small(SMALL, CALM)]
 #[case::small_with_other_crashes(SMALL, Faults { ends_per_s: 0.5, ..CALM })]
 #[case::small_with_a_lost_domain(SMALL, Faults { mass_ends: &[3_000, 5_000, 9_000], ..CALM })]
 #[case::small_with_killed_gateways(SMALL, Faults { kills: &[4_500, 5_500, 7_000], ..CALM })]
 #[case::small_without_a_leader(SMALL, Faults { leaderless: Some((4_000, 9_000)), lost: 0.2, ..CALM })]
-#[case::small_with_two_parts(Load { deadly: &[0.03, 0.03], ..SMALL }, CALM)]
-#[case::small_with_a_frequent_part(Load { deadly: &[0.3], ..SMALL }, CALM)]
+#[case::small_with_two_parts(Load { poison: &[0.03, 0.03], ..SMALL }, CALM)]
+#[case::small_with_a_frequent_part(Load { poison: &[0.3], ..SMALL }, CALM)]
 #[case::large(LARGE, CALM)]
 #[case::large_with_other_troubles(LARGE, Faults { ends_per_s: 3.0, mass_ends: &[6_000], kills: &[8_000], lost: 0.1,
     leaderless: Some((5_000, 9_000)) })]
-fn a_deadly_part_is_held_back(#[case] load: Load, #[case] faults: Faults) {
+fn a_poison_part_is_held_back(#[case] load: Load, #[case] faults: Faults) {
     let count = if load.gateways > 100 { seeds(2).div_ceil(5) } else { seeds(20) };
     let (mut ends, mut parts) = (0, 0);
     for seed in 0..count {
         let outcome = Run::new(load, faults, Policy::Whole, seed).play();
-        for part in 0..load.deadly.len() {
+        for part in 0..load.poison.len() {
             let later = outcome.later(part, load.contact_ms);
             assert!(later <= MAX_LATER, "seed {seed}: {later} sends of part {part} came later");
             ends += outcome.ends[part].len();
@@ -479,7 +479,7 @@
     leaderless: Some((3_000, 9_000)), kills: &[] })]
 #[case::large(LARGE, Faults { ends_per_s: 5.0, mass_ends: &[5_000, 9_000], ..CALM })]
 fn crashes_of_other_causes_hold_nothing_back(#[case] load: Load, #[case] faults: Faults) {
-    let load = Load { deadly: &[], ..load };
+    let load = Load { poison: &[], ..load };
     let count = if load.gateways > 100 { seeds(2).div_ceil(5) } else { seeds(20) };
     let (mut sound, mut refused) = (0, 0);
     for seed in 0..count {
@@ -490,7 +490,7 @@
     assert!(refused * 500 <= sound, "{refused} of {sound} sound requests were refused");
 }
 
-/// Shows that the checks find gateways that tell each other nothing, clear nothing, or hold nothing back.
+/// Shows that the checks find gateways that tell each other nothing, clear nothing, or quarantine nothing.
 #[rstest]
 #[case::silent(Policy::Silent)]
 #[case::no_clearing(Policy::NoClearing)]
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
 use crate::outcome_record::{log_answer, log_outcome, record_outcome};
-use crate::part_guard::{record_begin, record_break, wait_until_held};
+use crate::part_guard::{record_begin, record_break, wait_until_quarantined};
 use crate::plain_call::plain_call;
 use crate::request_context::{AdmittedRequest, RequestContext};
 use crate::request_flow::route_kind_name;
@@ -53,7 +53,7 @@
         unreached: 0,
         waited_ms: 0,
         cause: None,
-        is_repeat: false,
+        is_retry: false,
         last_event: None,
     };
     {
@@ -85,14 +85,14 @@
         let end = tokio::select! {
             biased;
             end = sent => end,
-            () = wait_until_held(gateway, &context.caller.parts) => CallEnd::Own(SendOutcome::Withdrawn),
+            () = wait_until_quarantined(gateway, &context.caller.parts) => CallEnd::Own(SendOutcome::Withdrawn),
         };
         let outcome = match end {
             CallEnd::Own(outcome) => outcome,
             CallEnd::TakenOver(result) => return result,
         };
         if matches!(outcome, SendOutcome::Broken) {
-            progress.is_repeat |= record_break(gateway, context, &chosen).await;
+            progress.is_retry |= record_break(gateway, context, &chosen).await;
         }
         drop(choice.trial);
         if let Some(response) = handle_outcome(gateway, context, &admitted, &mut progress, &chosen, outcome)?
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -59,8 +59,8 @@
     pub upstream_ends: Counter,
     /// Requests sent although one of their prompt parts is suspected.
     pub part_trials: Counter,
-    /// Prompt parts that are held back.
-    pub held_parts: Gauge,
+    /// Prompt parts that are quarantined.
+    pub quarantined_parts: Gauge,
     /// Number of times that this gateway started or stopped leading.
     pub lease_changes: Counter,
     /// Number of restores of the store from an older backup that this gateway has seen.
@@ -106,7 +106,7 @@
             retries: Counter::default(),
             upstream_ends: Counter::default(),
             part_trials: Counter::default(),
-            held_parts: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             lease_changes: Counter::default(),
             era_changes: Counter::default(),
             lines_suppressed: Counter::default(),
@@ -146,7 +146,11 @@
             "Requests sent with suspected prompt parts",
             self.part_trials.clone(),
         );
-        registry.register("held_parts", "Prompt parts that are held back", self.held_parts.clone());
+        registry.register(
+            "quarantined_parts",
+            "Prompt parts that are quarantined",
+            self.quarantined_parts.clone(),
+        );
         registry.register("lease_changes", "Changes of the leader lease", self.lease_changes.clone());
         registry.register(
             "store_era_changes",
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -17,11 +17,11 @@
 use crate::caller_server::{listen, serve_callers, serve_status};
 use crate::crash_exchange::share_crashes;
 use crate::gateway_state::Gateway;
-use crate::held_store::store_held_parts;
 use crate::leader_exchange::{PeerServer, report_loop};
 use crate::lease_task::lease_loop;
 use crate::part_guard::expire_crashes;
 use crate::plan_task::plan_loop;
+use crate::quarantine_store::sync_quarantine;
 use crate::store_watch::{WatchedTable, watch_table};
 
 /// Time in ms from the signal until idle connections are closed. By then the platform's entry point has seen
@@ -85,7 +85,7 @@
     tokio::spawn(serve_status(Arc::clone(gateway), metrics));
     tokio::spawn(report_loop(Arc::clone(gateway)));
     tokio::spawn(share_crashes(Arc::clone(gateway)));
-    tokio::spawn(store_held_parts(Arc::clone(gateway)));
+    tokio::spawn(sync_quarantine(Arc::clone(gateway)));
     tokio::spawn(plan_loop(Arc::clone(gateway)));
     tokio::spawn(run_maintenance(Arc::clone(gateway), line_limiter));
     let lease = tokio::spawn(lease_loop(Arc::clone(gateway), own));
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -153,8 +153,8 @@
     pub quarantine: PartQuarantine,
     /// Cursor in the leader's crash log.
     pub crash_cursor: CrashCursor,
-    /// Prompt parts that are held back, as last logged.
-    pub held_parts: Vec<PartId>,
+    /// Prompt parts that are quarantined, as last logged.
+    pub quarantined_parts: Vec<PartId>,
     /// Requests by model since the last report.
     pub arrived: Vec<ArrivalCount>,
     /// Calls in flight, by upstream, model and adapter.
@@ -183,8 +183,8 @@
     pub state_changed: Notify,
     /// Wakes the report task.
     pub report_now: Notify,
-    /// Wakes requests that wait at upstreams while prompt parts are held back.
-    pub parts_held: Notify,
+    /// Wakes requests that wait at upstreams while prompt parts are quarantined.
+    pub parts_quarantined: Notify,
     /// Wakes the task that tells other gateways of crashes.
     pub crashes_changed: Notify,
     /// Wakes the tasks that watch the store.
@@ -213,7 +213,7 @@
             state_changed: Notify::new(),
             report_now: Notify::new(),
             crashes_changed: Notify::new(),
-            parts_held: Notify::new(),
+            parts_quarantined: Notify::new(),
             watch_now: Notify::new(),
             plan_now: Notify::new(),
             closing: watch::Sender::new(false),
@@ -290,7 +290,7 @@
             line_limiter: RequestLineLimiter::default(),
             quarantine: PartQuarantine::new(),
             crash_cursor: CrashCursor::default(),
-            held_parts: Vec::new(),
+            quarantined_parts: Vec::new(),
             arrived: Vec::new(),
             running: Vec::new(),
             next_ticket: 0,
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -59,8 +59,8 @@
         Ok(answer_report(&self.gateway, report))
     }
 
-    async fn crash_news(&self, news: CrashLogCopy) -> RpcResult<()> {
-        merge_crashes(&self.gateway, &mut self.gateway.lock(), &news, self.gateway.crash_time());
+    async fn crash_update(&self, update: CrashLogCopy) -> RpcResult<()> {
+        merge_crashes(&self.gateway, &mut self.gateway.lock(), &update, self.gateway.crash_time());
         Ok(())
     }
 
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //!   `upstream_choice`, `retry_choice`, `send_outcome`, `outcome_record`, `call_guard`, `plain_call`, `slow_call`,
 //!   `stream_call`, `event_source`, `event_check`, `stream_relay`, `stream_handover`, `resume_permit`,
 //!   `cut_cause`
-//! - prompt parts that end upstreams: `part_guard`, `crash_exchange`, `held_store`
+//! - prompt parts that end upstreams: `part_guard`, `crash_exchange`, `quarantine_store`
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
 //! - store and other gateways: `store_watch`, `table_rows`, `view_copy`, `leader_exchange`, `report_builder`, `peer_clients`
@@ -26,7 +26,6 @@
 mod gateway_process;
 mod gateway_state;
 mod guarded_stream;
-mod held_store;
 mod leader_exchange;
 mod leader_state;
 mod lease_task;
@@ -35,6 +34,7 @@
 mod peer_clients;
 mod plain_call;
 mod plan_task;
+mod quarantine_store;
 mod report_builder;
 mod request_context;
 mod request_flow;
--- a/crates/cowslip-gateway/src/part_guard.rs
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -1,9 +1,9 @@
-//! Keeps requests from upstreams whose prompt parts have ended others, and records what each send tells of its
-//! parts.
+//! Keeps requests from upstreams when their prompt parts have ended others, and records what each send shows
+//! about its parts.
 
 use std::sync::Arc;
 
-use cowslip_entry::{FleetMembers, HeldPart, PartGate};
+use cowslip_entry::{FleetMembers, PartGate, QuarantinedPart};
 use cowslip_units::{ClockTime, ErrorKind, PartId, UpstreamId};
 use slog::{info, warn};
 
@@ -32,13 +32,13 @@
     }
 
     /// The part that forbids to send a request with these shared prompt parts; `None` when there is none.
-    pub(crate) fn held_part(
+    pub(crate) fn quarantined_part(
         &self,
         own_name: &str,
         parts: &[PartId],
         crash_time: ClockTime,
-    ) -> Option<HeldPart> {
-        self.quarantine.held_part(parts, self.fleet_members(own_name), crash_time)
+    ) -> Option<QuarantinedPart> {
+        self.quarantine.quarantined_part(parts, self.fleet_members(own_name), crash_time)
     }
 }
 
@@ -77,7 +77,7 @@
 /// Decides by its prompt parts whether a request may be sent now.
 ///
 /// # Errors
-/// [`RequestRejection`] when one of the parts is held back.
+/// [`RequestRejection`] when one of the parts is quarantined.
 pub(crate) fn check_parts(
     gateway: &Gateway,
     context: &RequestContext,
@@ -87,48 +87,51 @@
     let gate = {
         let state = gateway.lock();
         let fleet = state.fleet_members(&gateway.settings.name);
-        state.quarantine.gate(&context.caller.parts, progress.is_repeat, fleet, now)
+        state.quarantine.gate(&context.caller.parts, progress.is_retry, fleet, now)
     };
     match gate {
-        PartGate::Closed(held) => Err(held_rejection(gateway, context, progress.runs, &held)),
+        PartGate::Closed(quarantined) => {
+            Err(quarantine_rejection(gateway, context, progress.runs, &quarantined))
+        }
         gate => Ok(gate),
     }
 }
 
-/// Rejects a request that has not been sent when one of its prompt parts is held back.
+/// Rejects a request that has not been sent when one of its prompt parts is quarantined.
 ///
 /// # Errors
 /// [`RequestRejection`] in that case.
 pub(crate) fn check_arrival(gateway: &Gateway, context: &RequestContext) -> Result<(), RequestRejection> {
-    let held = gateway.lock().held_part(&gateway.settings.name, &context.caller.parts, gateway.crash_time());
-    held.map_or(Ok(()), |held| Err(held_rejection(gateway, context, 0, &held)))
+    let quarantined =
+        gateway.lock().quarantined_part(&gateway.settings.name, &context.caller.parts, gateway.crash_time());
+    quarantined.map_or(Ok(()), |part| Err(quarantine_rejection(gateway, context, 0, &part)))
 }
 
-/// Rejection of a request for a part that is held back. One that may have run gets an error that does not claim
+/// Rejection of a request for a part that is quarantined. One that may have run gets an error that does not claim
 /// that it did not.
-fn held_rejection(
+fn quarantine_rejection(
     gateway: &Gateway,
     context: &RequestContext,
     runs: u32,
-    held: &HeldPart,
+    quarantined: &QuarantinedPart,
 ) -> RequestRejection {
     let now = gateway.crash_time();
     if gateway.may_log() {
-        info!(gateway.logger, "request_held"; "request" => %context.caller.attempt, "part" => %held.part,
-            "crashes" => held.events, "last_crash_ms" => now.since_ms(held.last_at),
-            "upstreams" => held.upstreams_text(), "runs" => runs);
+        info!(gateway.logger, "request_quarantined"; "request" => %context.caller.attempt, "part" => %quarantined.part,
+            "crashes" => quarantined.events, "last_crash_ms" => now.since_ms(quarantined.last_at),
+            "upstreams" => quarantined.upstreams_text(), "runs" => runs);
     }
     if runs > 0 {
         return RequestRejection::new(ErrorKind::UpstreamFailed);
     }
-    RequestRejection::new(ErrorKind::PromptHeld).with_retry_after(held.until.since_ms(now))
+    RequestRejection::new(ErrorKind::PromptQuarantined).with_retry_after(quarantined.until.since_ms(now))
 }
 
-/// Completes once one of the parts is held back.
-pub(crate) async fn wait_until_held(gateway: &Gateway, parts: &[PartId]) {
+/// Completes once one of the parts is quarantined.
+pub(crate) async fn wait_until_quarantined(gateway: &Gateway, parts: &[PartId]) {
     loop {
-        let notified = gateway.parts_held.notified();
-        if gateway.lock().held_part(&gateway.settings.name, parts, gateway.crash_time()).is_some() {
+        let notified = gateway.parts_quarantined.notified();
+        if gateway.lock().quarantined_part(&gateway.settings.name, parts, gateway.crash_time()).is_some() {
             return;
         }
         notified.await;
@@ -145,7 +148,7 @@
         gateway.metrics.upstream_ends.inc();
         let mut state = gateway.lock();
         state.quarantine.log.record_crash(&start, parts, gateway.crash_time());
-        spread_crashes(gateway, &mut state);
+        notify_crash_change(gateway, &mut state);
     }
     if gateway.may_log() {
         info!(gateway.logger, "upstream_checked"; "request" => %context.caller.attempt, "upstream" => %upstream,
@@ -164,46 +167,46 @@
     let before = state.quarantine.log.cursor();
     state.quarantine.log.record_begin(parts, gateway.crash_time());
     if state.quarantine.log.cursor() != before {
-        spread_crashes(gateway, &mut state);
+        notify_crash_change(gateway, &mut state);
     }
 }
 
-/// Wakes what depends on the crash log after it may have changed: waiting requests, and the task that tells other
-/// gateways. Logs parts that are held back from now on, or no longer.
-pub(crate) fn spread_crashes(gateway: &Gateway, state: &mut GatewayState) {
-    if state.quarantine.log.has_news() {
+/// Wakes what depends on the crash log after it may have changed: waiting requests, and the task that updates other
+/// gateways. Logs parts that are quarantined from now on, or no longer.
+pub(crate) fn notify_crash_change(gateway: &Gateway, state: &mut GatewayState) {
+    if state.quarantine.log.has_urgent() {
         gateway.crashes_changed.notify_one();
         gateway.report_now.notify_one();
     }
     gateway.state_changed.notify_waiters();
-    log_held_parts(gateway, state);
+    log_quarantine(gateway, state);
 }
 
-fn log_held_parts(gateway: &Gateway, state: &mut GatewayState) {
+fn log_quarantine(gateway: &Gateway, state: &mut GatewayState) {
     let now = gateway.crash_time();
-    let held = state.quarantine.log.held_parts(now);
-    gateway.metrics.held_parts.set(i64::try_from(held.len()).unwrap_or(i64::MAX));
-    if !held.is_empty() {
-        gateway.parts_held.notify_waiters();
-    }
-    for part in &held {
-        if !state.held_parts.contains(&part.part) {
-            warn!(gateway.logger, "part_held"; "part" => %part.part, "crashes" => part.events,
+    let quarantined = state.quarantine.log.quarantined_parts(now);
+    gateway.metrics.quarantined_parts.set(i64::try_from(quarantined.len()).unwrap_or(i64::MAX));
+    if !quarantined.is_empty() {
+        gateway.parts_quarantined.notify_waiters();
+    }
+    for part in &quarantined {
+        if !state.quarantined_parts.contains(&part.part) {
+            warn!(gateway.logger, "part_quarantined"; "part" => %part.part, "crashes" => part.events,
                 "last_crash_ms" => now.since_ms(part.last_at), "upstreams" => part.upstreams_text(),
                 "for_ms" => part.until.since_ms(now));
         }
     }
-    for part in &state.held_parts {
-        if !held.iter().any(|held| held.part == *part) {
+    for part in &state.quarantined_parts {
+        if !quarantined.iter().any(|known| known.part == *part) {
             info!(gateway.logger, "part_released"; "part" => %part);
         }
     }
-    state.held_parts = held.into_iter().map(|held| held.part).collect();
+    state.quarantined_parts = quarantined.into_iter().map(|known| known.part).collect();
 }
 
 /// Drops old crashes.
 pub(crate) fn expire_crashes(gateway: &Gateway) {
     let mut state = gateway.lock();
     state.quarantine.log.expire(gateway.crash_time());
-    log_held_parts(gateway, &mut state);
+    log_quarantine(gateway, &mut state);
 }
--- a/crates/cowslip-gateway/src/held_store.rs
+++ b/crates/cowslip-gateway/src/quarantine_store.rs
@@ -1,4 +1,4 @@
-//! Stores the prompt parts that are held back, for gateways that no leader tells of them: after all of them have
+//! Stores the prompt parts that are quarantined, for gateways that no leader informs of them: after all of them have
 //! ended at once, or for one that reaches the store but not the others.
 
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use crate::gateway_state::Gateway;
 
 /// Key of the row.
-const HELD_KEY: &str = "held-parts";
+const QUARANTINE_KEY: &str = "quarantine";
 
 /// Interval in ms between two checks whether the row must be read or written.
 const CHECK_MS: u64 = 250;
@@ -25,7 +25,7 @@
 
 /// What is known of the row.
 #[derive(Debug)]
-struct HeldRow {
+struct QuarantineRow {
     /// Version of the row; `None` when it is absent.
     version: Option<u64>,
     /// Digest of its crashes.
@@ -43,13 +43,13 @@
     Leader,
     /// No leader has answered for some time.
     Leaderless,
-    /// The leader tells this gateway everything.
+    /// The leader informs this gateway.
     Follower,
 }
 
 /// Reads and writes the row for as long as the process runs.
-pub(crate) async fn store_held_parts(gateway: Arc<Gateway>) {
-    let mut known: Option<HeldRow> = None;
+pub(crate) async fn sync_quarantine(gateway: Arc<Gateway>) {
+    let mut known: Option<QuarantineRow> = None;
     let mut last_role = RowRole::Follower;
     loop {
         gateway.clock.sleep_ms(CHECK_MS).await;
@@ -63,7 +63,7 @@
             continue;
         }
         let era = gateway.store.era();
-        let is_old = |row: &HeldRow| {
+        let is_old = |row: &QuarantineRow| {
             let is_due = gateway.now().since_ms(row.known_at) >= READ_INTERVAL_MS;
             row.era != era || (role == RowRole::Leaderless && is_due)
         };
@@ -71,11 +71,12 @@
             known = read_row(&gateway, era).await;
         }
         if let Some(row) = &known {
-            let held = gateway.lock().quarantine.log.held_copy(gateway.crash_time());
-            // Only the leader can tell that a part is no longer held back.
-            let is_needed = held.digest() != row.digest && (role == RowRole::Leader || !held.is_empty());
+            let quarantined = gateway.lock().quarantine.log.quarantined_copy(gateway.crash_time());
+            // Only the leader knows that a part is no longer quarantined.
+            let is_needed =
+                quarantined.digest() != row.digest && (role == RowRole::Leader || !quarantined.is_empty());
             if is_needed {
-                known = write_row(&gateway, row, &held, era).await;
+                known = write_row(&gateway, row, &quarantined, era).await;
             }
         }
     }
@@ -84,65 +85,70 @@
 fn row_role(gateway: &Gateway) -> RowRole {
     let now = gateway.now();
     let state = gateway.lock();
-    let is_told = state.last_leader_contact.is_some_and(|at| now.since_ms(at) < LEADERLESS_MS);
+    let is_informed = state.last_leader_contact.is_some_and(|at| now.since_ms(at) < LEADERLESS_MS);
     if state.lead.is_some() {
         RowRole::Leader
-    } else if !is_told {
+    } else if !is_informed {
         RowRole::Leaderless
     } else {
         RowRole::Follower
     }
 }
 
-async fn read_row(gateway: &Gateway, era: StoreEra) -> Option<HeldRow> {
-    let result = gateway.store.read(HELD_KEY).await;
-    gateway.metrics.count_store_call("held_read", result.is_err());
+async fn read_row(gateway: &Gateway, era: StoreEra) -> Option<QuarantineRow> {
+    let result = gateway.store.read(QUARANTINE_KEY).await;
+    gateway.metrics.count_store_call("quarantine_read", result.is_err());
     // The store is read again at the next check.
     let row = result.ok()?;
     Some(take_row(gateway, row, era))
 }
 
 /// Merges the row's crashes.
-fn take_row(gateway: &Gateway, row: Option<RowValue>, era: StoreEra) -> HeldRow {
+fn take_row(gateway: &Gateway, row: Option<RowValue>, era: StoreEra) -> QuarantineRow {
     let version = row.as_ref().map(|row| row.version);
     let copy = row.map_or_else(CrashLogCopy::default, |row| decode(gateway, &row));
     let mut state = gateway.lock();
     merge_crashes(gateway, &mut state, &copy, gateway.crash_time());
-    HeldRow { version, digest: copy.digest(), known_at: gateway.now(), era }
+    QuarantineRow { version, digest: copy.digest(), known_at: gateway.now(), era }
 }
 
 /// Crashes in a row. One that cannot be read counts as empty, and is overwritten.
 fn decode(gateway: &Gateway, row: &RowValue) -> CrashLogCopy {
     serde_json::from_str(&row.value).unwrap_or_else(|error| {
-        warn!(gateway.logger, "held_parts_unreadable"; "version" => row.version, "error" => %error);
+        warn!(gateway.logger, "quarantine_unreadable"; "version" => row.version, "error" => %error);
         CrashLogCopy::default()
     })
 }
 
 /// Writes the row, unless another gateway has changed it since.
-async fn write_row(gateway: &Gateway, row: &HeldRow, held: &CrashLogCopy, era: StoreEra) -> Option<HeldRow> {
-    let text = serde_json::to_string(held)
-        .inspect_err(|error| warn!(gateway.logger, "held_parts_unwritable"; "error" => %error))
+async fn write_row(
+    gateway: &Gateway,
+    row: &QuarantineRow,
+    quarantined: &CrashLogCopy,
+    era: StoreEra,
+) -> Option<QuarantineRow> {
+    let text = serde_json::to_string(quarantined)
+        .inspect_err(|error| warn!(gateway.logger, "quarantine_unwritable"; "error" => %error))
         .ok()?;
     let transaction = TableTransaction::new();
     let transaction = match row.version {
-        Some(version) => transaction.with_version(HELD_KEY, version),
-        None => transaction.with_absent(HELD_KEY),
+        Some(version) => transaction.with_version(QUARANTINE_KEY, version),
+        None => transaction.with_absent(QUARANTINE_KEY),
     };
-    let result = gateway.store.commit(&transaction.with_put(HELD_KEY, text)).await;
-    gateway.metrics.count_store_call("held_write", result.is_err());
-    log_write(gateway, held, &result.as_ref().map(|outcome| outcome.committed));
+    let result = gateway.store.commit(&transaction.with_put(QUARANTINE_KEY, text)).await;
+    gateway.metrics.count_store_call("quarantine_write", result.is_err());
+    log_write(gateway, quarantined, &result.as_ref().map(|outcome| outcome.committed));
     let outcome = result.ok()?;
     if !outcome.committed {
-        let current = outcome.rows.into_iter().find(|row| row.key == HELD_KEY);
+        let current = outcome.rows.into_iter().find(|row| row.key == QUARANTINE_KEY);
         return Some(take_row(gateway, current, era));
     }
     let version = outcome.versions.first().copied();
-    Some(HeldRow { version, digest: held.digest(), known_at: gateway.now(), era })
+    Some(QuarantineRow { version, digest: quarantined.digest(), known_at: gateway.now(), era })
 }
 
-fn log_write(gateway: &Gateway, held: &CrashLogCopy, result: &Result<bool, &PlatformError>) {
+fn log_write(gateway: &Gateway, quarantined: &CrashLogCopy, result: &Result<bool, &PlatformError>) {
     let error = result.as_ref().err().map(ToString::to_string);
-    info!(gateway.logger, "held_parts_written"; "crashes" => held.crashes.len(),
+    info!(gateway.logger, "quarantine_written"; "crashes" => quarantined.crashes.len(),
         "committed" => result.as_ref().is_ok_and(|committed| *committed), "error" => error);
 }
--- a/crates/cowslip-gateway/src/request_context.rs
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -105,7 +105,8 @@
     {
         let state = gateway.lock();
         let is_fresh = state.upstream_freshness.is_usable(gateway.settings.drain_ms, now);
-        let held = state.held_part(&gateway.settings.name, &context.caller.parts, gateway.crash_time());
+        let held =
+            state.quarantined_part(&gateway.settings.name, &context.caller.parts, gateway.crash_time());
         if !is_fresh || held.is_some() || !state.upstreams.can_accept(upstream, &state.evacuated, now) {
             return false;
         }
--- a/crates/cowslip-gateway/src/request_progress.rs
+++ b/crates/cowslip-gateway/src/request_progress.rs
@@ -30,7 +30,7 @@
     /// Reason of the last wait.
     pub cause: Option<WaitCause>,
     /// True once the request has waited at an upstream that ended.
-    pub is_repeat: bool,
+    pub is_retry: bool,
     /// Id of the last event sent to the caller, when a stream is resumed.
     pub last_event: Option<smol_str::SmolStr>,
 }
--- a/crates/cowslip-gateway/src/send_outcome.rs
+++ b/crates/cowslip-gateway/src/send_outcome.rs
@@ -19,7 +19,7 @@
     /// The upstream reported that it did not run the request; true when it lacks the model or is another
     /// upstream.
     NotRun(bool),
-    /// Given up by the gateway, because a part of its prompt is held back from now on; the request may have run.
+    /// Given up by the gateway, because a part of its prompt is quarantined from now on; the request may have run.
     Withdrawn,
     /// The upstream broke the connection before the response; the request may have run.
     Broken,
--- a/crates/cowslip-gateway/src/stream_call.rs
+++ b/crates/cowslip-gateway/src/stream_call.rs
@@ -105,7 +105,7 @@
         unreached: progress.unreached,
         waited_ms: progress.waited_ms,
         cause: progress.cause,
-        is_repeat: progress.is_repeat,
+        is_retry: progress.is_retry,
         last_event: progress.last_event.clone(),
     }
 }
--- a/crates/cowslip-rpc/src/gateway_api.rs
+++ b/crates/cowslip-rpc/src/gateway_api.rs
@@ -12,8 +12,8 @@
     #[method(name = "gateway_report")]
     async fn gateway_report(&self, report: GatewayReport) -> RpcResult<LeaderAnswer>;
 
-    #[method(name = "crash_news")]
-    async fn crash_news(&self, news: CrashLogCopy) -> RpcResult<()>;
+    #[method(name = "crash_update")]
+    async fn crash_update(&self, update: CrashLogCopy) -> RpcResult<()>;
 
     #[method(name = "view_copy")]
     async fn view_copy(&self) -> RpcResult<ViewCopy>;
--- a/crates/cowslip-units/src/error_kind.rs
+++ b/crates/cowslip-units/src/error_kind.rs
@@ -92,8 +92,8 @@
     TooManyConnections = 503 "too_many_connections" AfterMs(500);
     /// No upstream can serve the request before its deadline.
     NoCapacity = 503 "no_capacity" AfterMs(2_000);
-    /// A part of the prompt is held back, because upstreams ended under it.
-    PromptHeld = 503 "prompt_held" AfterMs(20_000);
+    /// A part of the prompt is quarantined, because upstreams ended under it.
+    PromptQuarantined = 503 "prompt_quarantined" AfterMs(20_000);
     /// This VM cannot confirm that its view is current.
     ViewStale = 503 "view_stale" AfterMs(500);
     /// The platform's store does not answer and the request depends on it.
