--- a/crates/cowslip-entry/src/part_quarantine.rs
+++ b/crates/cowslip-entry/src/part_quarantine.rs
@@ -2,8 +2,8 @@
 //! ended.
 //!
 //! A part with enough crashes is quarantined. Before that, and when its quarantine time is over, requests with it are
-//! sent one at a time and apart from each other: the begin of an answer clears the part, another crash convicts
-//! it.
+//! sent one at a time and apart from each other: the begin of an answer clears the part, another crash confirms
+//! the suspicion.
 
 use cowslip_units::{ClockTime, PartId, UpstreamId};
 
