--- a/crates/cowslip-gateway/src/part_guard.rs
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cowslip_entry::{FleetMembers, PartGate, QuarantinedPart};
+use cowslip_runtime::refuses_connections;
 use cowslip_units::{ClockTime, ErrorKind, PartId, UpstreamId};
 use slog::{info, warn};
 
@@ -142,7 +143,7 @@
 /// Returns whether it has.
 pub(crate) async fn record_break(gateway: &Gateway, context: &RequestContext, upstream: &UpstreamId) -> bool {
     let Some((address, start)) = send_target(gateway, upstream) else { return false };
-    let has_ended = gateway.pool.refuses_connections(address).await;
+    let has_ended = refuses_connections(address).await;
     let parts = &context.caller.parts;
     if has_ended {
         gateway.metrics.upstream_ends.inc();
--- a/crates/cowslip-gateway/src/upstream_pool.rs
+++ b/crates/cowslip-gateway/src/upstream_pool.rs
@@ -9,7 +9,6 @@
 //! again.
 
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -34,9 +33,6 @@
 /// Timeout in ms for opening a connection.
 const CONNECT_MS: u64 = 400;
 
-/// Timeout in ms of a connection that tells whether an upstream has ended.
-const PROBE_MS: u64 = 100;
-
 /// Time in ms within which the first bytes of an allowed request must be written: more than a busy process
 /// needs, and less than a suspension takes.
 const WRITE_START_MS: u64 = 250;
@@ -183,12 +179,6 @@
         may_send()
     }
 
-    /// True when nothing listens at an address: its process has ended.
-    pub(crate) async fn refuses_connections(&self, address: SocketAddr) -> bool {
-        let connected = timeout(Duration::from_millis(PROBE_MS), TcpStream::connect(address)).await;
-        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-    }
-
     async fn connect(&self, address: SocketAddr) -> Result<UpstreamConnection, SendFault> {
         let stream = match timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
--- a/crates/cowslip-runtime/src/lib.rs
+++ b/crates/cowslip-runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Building blocks shared by all processes: command line, logging, metrics, tracing, clock and shutdown.
 
 mod command_line;
+mod connect_probe;
 mod json_log;
 mod limited_drain;
 mod line_buffer;
@@ -13,6 +14,7 @@
 mod violation_reporter;
 
 pub use command_line::{ProcessArgs, process_command, read_args, report_faults, run_process};
+pub use connect_probe::refuses_connections;
 pub use json_log::json_logger;
 pub use limited_drain::{LimitedDrain, SharedLimiter};
 pub use line_buffer::LineBuffer;
