--- a/crates/cowslip-capacity/src/message_counts.rs
+++ b/crates/cowslip-capacity/src/message_counts.rs
@@ -41,6 +41,7 @@
         owner: Some(own.clone()),
         attempt,
         state: ReportState::Accepted,
+        ended_upstreams: Vec::new(),
     };
     let tokens = TokenRequest {
         borrower: own.clone(),
--- a/crates/cowslip-fleet/src/report_row.rs
+++ b/crates/cowslip-fleet/src/report_row.rs
@@ -1,6 +1,6 @@
 //! Stored form of a report.
 
-use cowslip_units::{AttemptId, IncarnationId, ModelId, ReportId, TeamId};
+use cowslip_units::{AttemptId, IncarnationId, ModelId, ReportId, TeamId, UpstreamId};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 
@@ -41,4 +41,7 @@
     pub attempt: AttemptId,
     /// Progress of the report.
     pub state: ReportState,
+    /// Upstreams that had ended under it when its last owner released it, in order.
+    #[serde(default)]
+    pub ended_upstreams: Vec<UpstreamId>,
 }
--- a/crates/cowslip-fleet/src/report_table.rs
+++ b/crates/cowslip-fleet/src/report_table.rs
@@ -1,7 +1,9 @@
 //! Reports: accepted once durable, run by an owner, taken over when the owner is no longer a member.
 
 use cowslip_platform::{PlatformError, RowValue, TableTransaction, TransactionOutcome};
-use cowslip_units::{AttemptId, IncarnationId, InvariantName, ReportId, TeamId, assert_invariant};
+use cowslip_units::{
+    AttemptId, IncarnationId, InvariantName, ReportId, TeamId, UpstreamId, assert_invariant,
+};
 use smol_str::SmolStr;
 
 use crate::{FleetView, ReportRow, ReportState, report_key, sorted_vec};
@@ -238,9 +240,13 @@
         self.store(report, |row| row.state = state)
     }
 
-    /// Releases ownership for a planned stop, so that another router takes the report over.
-    pub fn abandon(&mut self, report: &ReportId) -> ReportStep {
-        self.store(report, |row| row.owner = None)
+    /// Releases ownership for a planned stop, so that another router takes the report over, with the
+    /// upstreams that have ended under it.
+    pub fn abandon(&mut self, report: &ReportId, ended_upstreams: &[UpstreamId]) -> ReportStep {
+        self.store(report, |row| {
+            row.owner = None;
+            row.ended_upstreams = ended_upstreams.to_vec();
+        })
     }
 
     /// Marks a report whose sender disconnected or was rejected before the acceptance: it is cancelled if its
--- a/crates/cowslip-fleet/tests/fleet/claim_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/claim_cases.rs
@@ -6,7 +6,7 @@
 };
 use cowslip_messages::{AttemptStatus, ClaimStatusRequest, FleetChange};
 use cowslip_platform::PlatformError;
-use cowslip_units::{InvariantName, ReportId, drain_violations};
+use cowslip_units::{InvariantName, ReportId, UpstreamId, drain_violations};
 use rstest::rstest;
 
 use crate::fake_table::FakeTable;
@@ -236,6 +236,7 @@
         owner: Some(node(owner)),
         attempt: attempt(&format!("at-{owner}")),
         state: ReportState::Accepted,
+        ended_upstreams: Vec::new(),
     }
 }
 
@@ -310,11 +311,24 @@
 fn a_planned_stop_releases_reports() {
     let mut table = FakeTable::default();
     let mut first = accepted("vm1:1", &mut table);
-    let step = first.abandon(&report());
+    let ended: [UpstreamId; 2] = ["e1".parse().unwrap(), "e2".parse().unwrap()];
+    let step = first.abandon(&report(), &ended);
     assert_eq!(drive_report(&mut first, step, &mut table), ReportStep::Stored);
     let found = table.read(&report_key(&report())).unwrap();
     let mut second = ReportTable::new(node("vm2:1"));
-    assert!(second.take_over(report(), &found, attempt("b1"), &view(&["vm1:1", "vm2:1"])).is_some());
+    let step = second.take_over(report(), &found, attempt("b1"), &view(&["vm1:1", "vm2:1"])).unwrap();
+    assert_eq!(drive_report(&mut second, step, &mut table), ReportStep::Run);
+    let row: ReportRow = serde_json::from_str(&table.read(&report_key(&report())).unwrap().value).unwrap();
+    assert_eq!(row.ended_upstreams, ended, "the next owner knows of the upstreams that ended");
+}
+
+/// Guards against a row of an earlier version that a router cannot read.
+#[test]
+fn a_row_without_ended_upstreams_is_read() {
+    let mut row = serde_json::to_value(report_row("vm1:1")).unwrap();
+    row.as_object_mut().unwrap().remove("ended_upstreams");
+    let read: ReportRow = serde_json::from_value(row).unwrap();
+    assert_eq!(read, report_row("vm1:1"));
 }
 
 /// Only the report's own team may cancel it, and a cancelled report keeps no result.
--- a/crates/cowslip-router/src/buffered_call.rs
+++ b/crates/cowslip-router/src/buffered_call.rs
@@ -84,9 +84,8 @@
 pub(crate) async fn read_body(mut body: Incoming) -> Result<Bytes, CallFault> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            CallFault::new(ErrorKind::UpstreamFailed, format!("the upstream cut its answer: {error}"))
-        })?;
+        let frame =
+            frame.map_err(|error| CallFault::broken(format!("the upstream cut its answer: {error}")))?;
         if let Ok(part) = frame.into_data() {
             if bytes.len() + part.len() > MAX_RESPONSE_BYTES {
                 let message = format!("the upstream's answer is larger than {MAX_RESPONSE_BYTES} bytes");
--- a/crates/cowslip-router/src/call_fault.rs
+++ b/crates/cowslip-router/src/call_fault.rs
@@ -18,6 +18,8 @@
     pub evicted: bool,
     /// True if the connection failed: the upstream may have restarted and would then be warming up.
     pub may_have_restarted: bool,
+    /// True if the connection ended after the request was sent and before its response was complete.
+    pub is_broken: bool,
     /// True if a retry is pointless: this router cancelled the attempt, or the engine rejected the request
     /// itself.
     pub is_final: bool,
@@ -44,10 +46,16 @@
             not_run: false,
             evicted: false,
             may_have_restarted: false,
+            is_broken: false,
             is_final: false,
         }
     }
 
+    /// Creates the fault of a response that its connection cut off.
+    pub fn broken(message: impl Into<String>) -> Self {
+        Self { is_broken: true, ..Self::new(ErrorKind::UpstreamFailed, message) }
+    }
+
     /// Converts the error of a request for which no response was received.
     pub fn from_send(fault: SendFault) -> Self {
         match fault {
@@ -59,9 +67,7 @@
             SendFault::NotSent(message) => {
                 Self { not_run: true, ..Self::new(ErrorKind::UpstreamFailed, format!("not sent: {message}")) }
             }
-            SendFault::Failed(message) => {
-                Self { may_have_restarted: true, ..Self::new(ErrorKind::UpstreamFailed, message) }
-            }
+            SendFault::Failed(message) => Self { may_have_restarted: true, ..Self::broken(message) },
             SendFault::TimedOut => {
                 Self::new(ErrorKind::UpstreamStalled, "the upstream did not answer in time")
             }
--- a/crates/cowslip-router/src/lib.rs
+++ b/crates/cowslip-router/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatch_loop;
 mod dispatch_params;
 mod dispatch_rules;
+mod ended_probe;
 mod fixed_shares;
 mod header_sanitizer;
 mod health_response;
--- a/crates/cowslip-router/src/model_call.rs
+++ b/crates/cowslip-router/src/model_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cowslip_routing::{
-    CallOutcome, PromptPrefix, RequestState, StreamStep, WaitTarget, check_complete_answer,
+    CallOutcome, EndedUpstreams, PromptPrefix, RequestState, StreamStep, WaitTarget, check_complete_answer,
 };
 use cowslip_runtime::sha256_hex;
 use cowslip_units::{ErrorKind, RunState, TeamId, TokenCount, UpstreamId};
@@ -16,6 +16,7 @@
 
 use crate::buffered_call::send_buffered;
 use crate::call_flight::StartFault;
+use crate::ended_probe::{MAX_ENDED_BY_CALL, has_ended};
 use crate::response_body::{ChannelBody, full_body};
 use crate::stream_relay::relay_stream;
 use crate::stream_source::status_fault;
@@ -57,6 +58,8 @@
     pub prompt_tokens: u64,
     /// Number of attempts so far.
     pub attempts: u32,
+    /// Upstreams that ended under it.
+    pub ended: EndedUpstreams,
 }
 
 /// Result of trying to start an attempt.
@@ -95,7 +98,14 @@
         message.copy_headers(&context.headers);
         message.content_type = Some(HeaderValue::from_static("application/json"));
         let state = RequestState::new(context.request.clone(), true);
-        Self { params, message, state, prompt_tokens: model_request.prompt_tokens(), attempts: 0 }
+        Self {
+            params,
+            message,
+            state,
+            prompt_tokens: model_request.prompt_tokens(),
+            attempts: 0,
+            ended: EndedUpstreams::new(MAX_ENDED_BY_CALL),
+        }
     }
 
     /// Runs the request and returns the complete response.
@@ -243,6 +253,9 @@
             "upstream" => upstream.as_str(), "kind" => fault.kind.as_str(), "message" => &fault.message);
         core.metrics.count("attempts_failed", 1);
         flight.record_fault(&fault);
+        if has_ended(core, &flight, &fault).await {
+            self.ended.add(upstream.clone());
+        }
         let busy = fault.not_run && fault.kind == ErrorKind::NoCapacity;
         flight.end(if busy || fault.is_final { CallOutcome::Undecided } else { CallOutcome::Failed });
         if fault.not_run {
@@ -257,6 +270,7 @@
         // budget.
         let retry = in_time
             && !fault.is_final
+            && !self.ended.is_exhausted()
             && self.state.can_retry()
             && (fault.not_run || core.state().retries.take(now));
         if retry {
--- a/crates/cowslip-router/src/report_calls.rs
+++ b/crates/cowslip-router/src/report_calls.rs
@@ -61,6 +61,7 @@
         owner: Some(core.incarnation.clone()),
         attempt: AttemptId::new(&random_hex(16)).map_err(internal)?,
         state: ReportState::Accepted,
+        ended_upstreams: Vec::new(),
     };
     let silent = core.state().is_store_silent(core.now());
     if silent || core.platform.put(&body, context.body.clone()).await.is_err() {
--- a/crates/cowslip-router/src/report_runner.rs
+++ b/crates/cowslip-router/src/report_runner.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use cowslip_fleet::{REPORT_PREFIX, ReportRow, ReportState, ReportStep, report_key};
 use cowslip_platform::{ObjectStore, TableService};
-use cowslip_routing::{ErrorResponse, RequestClass, RequestState, WaitTarget};
+use cowslip_routing::{EndedUpstreams, ErrorResponse, RequestClass, RequestState, WaitTarget};
 use cowslip_runtime::random_hex;
-use cowslip_units::{AttemptId, ClockTime, ErrorKind, ReportId, RequestId, TokenCount};
+use cowslip_units::{AttemptId, ClockTime, ErrorKind, ReportId, RequestId, TokenCount, UpstreamId};
 use http::{HeaderValue, Method};
 use smol_str::format_smolstr;
 use tokio::time::{Duration, sleep};
 
+use crate::ended_probe::MAX_ENDED_BY_CALL;
 use crate::rate_filter::reserve_tokens;
 use crate::{DispatchParams, ModelCall, ModelRequest, RouterCore, UpstreamRequest};
 
@@ -25,6 +26,10 @@
 const MAX_BACKOFF_MS: u64 = 30_000;
 /// Number of runs rejected by the engines as invalid after which the report counts as failed.
 const MAX_REJECTED_RUNS: u32 = 3;
+/// Number of engines that end under a report, over all its runs, after which it counts as failed.
+const MAX_ENDED_BY_REPORT: usize = 4;
+/// The same while it was always one engine, which may end for reasons of its own.
+const MAX_ENDS_OF_ONE_ENGINE: usize = 16;
 
 /// Executes steps that access the store until a step of another kind follows. After the deadline it returns
 /// [`ReportStep::Wait`] instead of waiting.
@@ -57,25 +62,30 @@
 pub(crate) fn start_report(core: &Arc<RouterCore>, report: ReportId) {
     let core = Arc::clone(core);
     tokio::spawn(async move {
-        let result = run_report(&core, &report).await;
+        let mut ended = EndedUpstreams::new(MAX_ENDED_BY_REPORT).with_limit_at_one(MAX_ENDS_OF_ONE_ENGINE);
+        let result = run_report(&core, &report, &mut ended).await;
         let step = match result {
             Some(state) => core.state().reports.complete(&report, state),
             // The router is shutting down: another router takes the report over.
-            None => core.state().reports.abandon(&report),
+            None => core.state().reports.abandon(&report, ended.ids()),
         };
         drive_report(&core, &report, step, ClockTime::NEVER).await;
     });
 }
 
 /// Runs a report until it is done or has failed permanently; `None` if this router shuts down first.
-async fn run_report(core: &Arc<RouterCore>, report: &ReportId) -> Option<ReportState> {
+async fn run_report(
+    core: &Arc<RouterCore>,
+    report: &ReportId,
+    ended: &mut EndedUpstreams,
+) -> Option<ReportState> {
     let mut backoff_ms = FIRST_BACKOFF_MS;
     let mut rejected_runs = 0;
     loop {
         if core.state().draining {
             return None;
         }
-        match run_report_once(core, report).await {
+        match run_report_once(core, report, ended).await {
             Ok(key) => return Some(ReportState::Done(key)),
             Err(rejection) => {
                 slog::info!(core.logger, "report did not run"; "report" => report.as_str(),
@@ -88,6 +98,9 @@
                 }
             }
         }
+        if ended.is_exhausted() {
+            return Some(ended_report(core, report, ended));
+        }
         let mut stopping = core.signals.stopping.subscribe();
         tokio::select! {
             () = sleep(Duration::from_millis(backoff_ms)) => {}
@@ -97,10 +110,20 @@
     }
 }
 
+/// Failure of a report that has ended too many engines; the log names them.
+fn ended_report(core: &RouterCore, report: &ReportId, ended: &EndedUpstreams) -> ReportState {
+    let engines: Vec<&str> = ended.ids().iter().map(UpstreamId::as_str).collect();
+    slog::warn!(core.logger, "report failed, engines ended under it"; "report" => report.as_str(),
+        "engines" => engines.join(" "));
+    core.metrics.count("reports_ended_engines", 1);
+    ReportState::Failed(format!("{} engines ended while they ran it", engines.len()))
+}
+
 /// Runs the report once: reads the request, runs it and writes its result. Returns the key of the result.
 async fn run_report_once(
     core: &Arc<RouterCore>,
     report: &ReportId,
+    ended: &mut EndedUpstreams,
 ) -> Result<smol_str::SmolStr, ErrorResponse> {
     let store_down = || ErrorResponse::new(ErrorKind::StoreUnavailable, "the store does not answer");
     let value = core.platform.read(&report_key(report)).await.ok().flatten().ok_or_else(store_down)?;
@@ -109,12 +132,15 @@
         // Cancelled, or owned by another router: recording the result is rejected, which ends this run.
         return Ok(result_key(report, &row));
     }
+    ended.begin_with(&row.ended_upstreams);
     let body = core.platform.get(&row.body).await.ok().flatten().ok_or_else(store_down)?;
     let model_request = ModelRequest::from_report(&body)?;
     let cost = TokenCount::new(model_request.cost());
     let mut tokens = Some(reserve_tokens(core, &row.team, cost, ClockTime::NEVER).await?);
     let mut call = report_call(&row, &model_request, body, cost)?;
-    let answer = call.run_buffered(core, &mut tokens).await?;
+    let result = call.run_buffered(core, &mut tokens).await;
+    ended.add_all(&call.ended);
+    let answer = result?;
     let key = result_key(report, &row);
     core.platform.put(&key, answer.body).await.map_err(|_| store_down())?;
     Ok(key)
@@ -160,7 +186,14 @@
         traceparent: None,
     };
     let state = RequestState::new(request, true);
-    Ok(ModelCall { params, message, state, prompt_tokens: model_request.prompt_tokens(), attempts: 0 })
+    Ok(ModelCall {
+        params,
+        message,
+        state,
+        prompt_tokens: model_request.prompt_tokens(),
+        attempts: 0,
+        ended: EndedUpstreams::new(MAX_ENDED_BY_CALL),
+    })
 }
 
 /// Task that scans for reports that were released by their owner or whose owner has left.
--- a/crates/cowslip-router/src/service_call.rs
+++ b/crates/cowslip-router/src/service_call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cowslip_routing::{CallOutcome, RequestState, WaitTarget};
+use cowslip_routing::{CallOutcome, EndedUpstreams, RequestState, WaitTarget};
 use cowslip_units::{ErrorKind, RunState, TokenCount};
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderName, Response, header};
@@ -10,6 +10,7 @@
 
 use crate::buffered_call::send_buffered;
 use crate::call_flight::StartFault;
+use crate::ended_probe::{MAX_ENDED_BY_CALL, has_ended};
 use crate::response_body::full_body;
 use crate::{
     BufferedResponse, CallFault, CallFlight, DispatchParams, ErrorResponse, RequestContext, RouteMatch,
@@ -113,6 +114,7 @@
     let mut params = service_params(context, matched);
     let message = service_message(context);
     let mut state = RequestState::new(context.request.clone(), true);
+    let mut ended = EndedUpstreams::new(MAX_ENDED_BY_CALL);
     let mut rejection = ErrorResponse::new(ErrorKind::NoCapacity, "no upstream accepted the request");
     for _ in 0..MAX_DISPATCHES {
         let span = core.traces.start("queue", context.trace.as_ref());
@@ -147,6 +149,9 @@
             }
             Err(fault) => {
                 flight.record_fault(&fault);
+                if has_ended(core, &flight, &fault).await {
+                    ended.add(flight.upstream().clone());
+                }
                 params.excluded.push(flight.upstream().clone());
                 let busy = fault.not_run && fault.kind == ErrorKind::NoCapacity;
                 flight.end(if busy || fault.is_final { CallOutcome::Undecided } else { CallOutcome::Failed });
@@ -157,7 +162,8 @@
                 let in_time = now < context.deadline;
                 let kind = if in_time { fault.kind } else { ErrorKind::DeadlineExceeded };
                 rejection = ErrorResponse::new(kind, &fault.message);
-                let retry = in_time && !fault.is_final && (fault.not_run || core.state().retries.take(now));
+                let may_retry = in_time && !fault.is_final && !ended.is_exhausted();
+                let retry = may_retry && (fault.not_run || core.state().retries.take(now));
                 if !retry {
                     break;
                 }
--- a/crates/cowslip-router/src/stream_source.rs
+++ b/crates/cowslip-router/src/stream_source.rs
@@ -119,12 +119,10 @@
                     }
                 }
                 Some(Err(error)) => {
-                    let message = format!("the upstream cut its stream: {error}");
-                    return Err(CallFault::new(ErrorKind::UpstreamFailed, message));
+                    return Err(CallFault::broken(format!("the upstream cut its stream: {error}")));
                 }
                 None => {
-                    let message = "the upstream's stream ended without an end marker";
-                    return Err(CallFault::new(ErrorKind::UpstreamFailed, message));
+                    return Err(CallFault::broken("the upstream's stream ended without an end marker"));
                 }
             }
         }
--- a/crates/cowslip-router/tests/common/mod.rs
+++ b/crates/cowslip-router/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed set-up fails the test")]
 
 mod fake_leader;
+mod fragile_upstream;
 mod test_caller;
 
 use std::net::{SocketAddr, TcpListener};
@@ -25,6 +26,7 @@
 use slog::{Discard, Logger, o};
 
 pub(crate) use fake_leader::FakeLeader;
+pub(crate) use fragile_upstream::FragileUpstream;
 pub(crate) use test_caller::{ReadStream, TestCaller, chat_body, expected_text, read_stream};
 
 /// Keys of team `crews`.
@@ -262,6 +264,12 @@
         StandinClient::new(self.service.addr).put_fault(&fault).await.unwrap();
     }
 
+    /// Stops the service and returns its address.
+    pub(crate) fn stop_service(&mut self) -> SocketAddr {
+        let other = ServiceServer::new("other").start().unwrap();
+        std::mem::replace(&mut self.service, other).addr
+    }
+
     pub(crate) async fn platform_fault(&self, service: &str, mode: &str) {
         let fault = json!({"service": service, "mode": mode, "ms": 0, "every": 1});
         StandinClient::new(self.platform.addr).put_fault(&fault).await.unwrap();
--- a/crates/cowslip-routing/tests/request_checks.rs
+++ b/crates/cowslip-routing/tests/request_checks.rs
@@ -1,9 +1,10 @@
 //! Checks of answers, the run state and the format of error responses.
 
 use cowslip_routing::{
-    AnswerFault, ErrorResponse, EventSplitter, RequestState, StreamCheck, StreamStep, check_complete_answer,
+    AnswerFault, EndedUpstreams, ErrorResponse, EventSplitter, RequestState, StreamCheck, StreamStep,
+    check_complete_answer,
 };
-use cowslip_units::{ErrorKind, InvariantName, RequestId, RunState, drain_violations};
+use cowslip_units::{ErrorKind, InvariantName, RequestId, RunState, UpstreamId, drain_violations};
 use rstest::rstest;
 
 fn request() -> RequestId {
@@ -145,3 +146,21 @@
     );
     assert_eq!((response.status(), response.retry_after_s()), (503, Some(2)));
 }
+
+/// Guards against a list of ended upstreams that the next owner of a report loses or counts twice, and against
+/// giving up a request for one upstream that keeps ending.
+#[test]
+fn ended_upstreams_are_counted_over_owners() {
+    let id = |name: &str| -> UpstreamId { name.parse().expect("an id") };
+    let mut run = EndedUpstreams::new(2);
+    run.add(id("e1"));
+    let mut ended = EndedUpstreams::new(3).with_limit_at_one(5);
+    ended.begin_with(&[id("e1"), id("e1")]);
+    ended.add_all(&run);
+    ended.begin_with(&[id("e1"), id("e1")]);
+    assert_eq!((ended.ids().len(), ended.is_exhausted()), (3, false), "one upstream ended three times");
+    ended.add(id("e2"));
+    assert!(ended.is_exhausted(), "several upstreams ended");
+    run.add(id("e1"));
+    assert!(run.is_exhausted(), "a call has one limit");
+}
