entry, gateway: a large fleet does not read the quarantine's row all the time

Cause: a gateway read the row each second while its leader's last answer was older than a fixed second. Reports of a large fleet are 1.2 s apart, so every gateway was without a leader half of the time. A failed read was repeated four times a second, and after a leader's end the whole fleet read, and wrote, at once.

Change: the times follow from the size of the fleet (leaderless_after_ms, leaderless_read_ms); RowSchedule in cowslip-entry decides, and compares a leaderless gateway's row only right after a read, in turn.

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod request_need;
 mod retry_throttle;
 mod route_rule;
+mod row_schedule;
 mod service_rule;
 mod slow_start_gate;
 mod standalone_share;
@@ -94,12 +95,13 @@
 pub use quota_allocator::QuotaAllocator;
 pub use rendezvous::{hash_rank, pair_weight, text_hash};
 pub use report_times::{
-    candidate_interval_ms, leader_due_ms, report_interval_ms, silent_after_ms, standalone_after_ms,
-    urgent_interval_ms,
+    candidate_interval_ms, leader_due_ms, leaderless_after_ms, leaderless_read_ms, report_interval_ms,
+    silent_after_ms, standalone_after_ms, urgent_interval_ms,
 };
 pub use request_need::{ModelNeed, RequestNeed};
 pub use retry_throttle::{RetryLimit, RetryThrottle};
 pub use route_rule::{RouteKind, RouteRule, RouteTarget};
+pub use row_schedule::{LeaderContact, RowSchedule, RowStep};
 pub use service_rule::{EngineRule, ModelRule, ServiceRule};
 pub use slow_start_gate::{SlowStartGate, SlowStartLimit};
 pub use standalone_share::{ShareTerms, StandaloneShare};
--- a/crates/cowslip-entry/src/report_times.rs
+++ b/crates/cowslip-entry/src/report_times.rs
@@ -21,6 +21,16 @@
 /// Shortest time in ms after which a caller should retry when the next leader is already overdue.
 const MIN_RETRY_MS: u64 = 500;
 
+/// Shortest time in ms without an answer of a leader after which a gateway reads from the store what the leader
+/// would send it.
+const MIN_LEADERLESS_MS: u64 = 2_000;
+
+/// Shortest interval in ms between two such reads of a gateway.
+const MIN_LEADERLESS_READ_MS: u64 = 1_000;
+
+/// Time in ms that each gateway adds to that interval in a large fleet, which bounds the reads of all together.
+const READ_MS_PER_MEMBER: u64 = 20;
+
 /// Time in ms between two reports of a gateway.
 pub const fn report_interval_ms(members: usize) -> u64 {
     let pause_ms = members as u64 * INTERVAL_MS_PER_MEMBER;
@@ -55,6 +65,19 @@
     report_interval_ms(members) * 2
 }
 
+/// Time in ms without an answer of a leader after which a gateway reads from the store what the leader would send
+/// it. One lost report, or a slow answer, is not enough.
+pub const fn leaderless_after_ms(members: usize) -> u64 {
+    let silent_ms = report_interval_ms(members) * 3;
+    if silent_ms > MIN_LEADERLESS_MS { silent_ms } else { MIN_LEADERLESS_MS }
+}
+
+/// Time in ms between two reads of a gateway that no leader answers.
+pub const fn leaderless_read_ms(members: usize) -> u64 {
+    let pause_ms = members as u64 * READ_MS_PER_MEMBER;
+    if pause_ms > MIN_LEADERLESS_READ_MS { pause_ms } else { MIN_LEADERLESS_READ_MS }
+}
+
 /// Time in ms without an answer after which a gateway spends its standalone share. It is longer than
 /// [`silent_after_ms`], so that the leader no longer grants that share to others.
 pub const fn standalone_after_ms(members: usize) -> u64 {
--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod quarantine_runs;
 mod rare_runs;
 mod registry_cases;
+mod row_cases;
 mod update_cases;
 mod view_cases;
 mod view_runs;
--- a/crates/cowslip-gateway/src/part_guard.rs
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -28,7 +28,7 @@
 
 impl GatewayState {
     /// The fleet, as far as it is known.
-    fn fleet_members<'a>(&'a self, own_name: &'a str) -> FleetMembers<'a> {
+    pub(crate) fn fleet_members<'a>(&'a self, own_name: &'a str) -> FleetMembers<'a> {
         FleetMembers { own_name, members: &self.members }
     }
 
--- a/crates/cowslip-gateway/src/quarantine_store.rs
+++ b/crates/cowslip-gateway/src/quarantine_store.rs
@@ -3,9 +3,9 @@
 
 use std::sync::Arc;
 
-use cowslip_entry::CrashLogCopy;
+use cowslip_entry::{CrashLogCopy, LeaderContact, RowSchedule, RowStep};
 use cowslip_platform::{PlatformError, RowValue, TableService, TableTransaction};
-use cowslip_units::{ClockTime, StoreEra};
+use cowslip_units::StoreEra;
 use slog::{info, warn};
 
 use crate::crash_exchange::merge_crashes;
@@ -17,12 +17,6 @@
 /// Interval in ms between two checks whether the row must be read or written.
 const CHECK_MS: u64 = 250;
 
-/// Time in ms after the last answer of a leader from which a gateway uses the row itself.
-const LEADERLESS_MS: u64 = 1_000;
-
-/// Interval in ms between two reads of a gateway without a leader.
-const READ_INTERVAL_MS: u64 = 1_000;
-
 /// What is known of the row.
 #[derive(Debug)]
 struct QuarantineRow {
@@ -30,75 +24,43 @@
     version: Option<u64>,
     /// Digest of its crashes.
     digest: u64,
-    /// Time of the read or write.
-    known_at: ClockTime,
     /// Era of the store at that time.
     era: StoreEra,
 }
 
-/// Role in which a gateway uses the row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RowRole {
-    /// The leader keeps the row current.
-    Leader,
-    /// No leader has answered for some time.
-    Leaderless,
-    /// The leader informs this gateway.
-    Follower,
-}
-
 /// Reads and writes the row for as long as the process runs.
 pub(crate) async fn sync_quarantine(gateway: Arc<Gateway>) {
     let mut known: Option<QuarantineRow> = None;
-    let mut last_role = RowRole::Follower;
+    let mut schedule = RowSchedule::new();
     loop {
         gateway.clock.sleep_ms(CHECK_MS).await;
-        let role = row_role(&gateway);
-        if role != last_role {
-            // The row may have changed since this gateway last used it.
-            known = None;
-            last_role = role;
-        }
-        if role == RowRole::Follower {
-            continue;
-        }
         let era = gateway.store.era();
-        let is_old = |row: &QuarantineRow| {
-            let is_due = gateway.now().since_ms(row.known_at) >= READ_INTERVAL_MS;
-            row.era != era || (role == RowRole::Leaderless && is_due)
-        };
-        if known.as_ref().is_none_or(is_old) {
-            known = read_row(&gateway, era).await;
+        schedule.record_row(known.as_ref().is_some_and(|row| row.era == era));
+        match next_step(&gateway, &mut schedule) {
+            RowStep::Wait => continue,
+            RowStep::Read => known = read_row(&gateway, era).await,
+            RowStep::Compare => {}
         }
         if let Some(row) = &known {
             let quarantined = gateway.lock().quarantine.log.quarantined_copy(gateway.crash_time());
-            // Only the leader knows that a part is no longer quarantined.
-            let is_needed =
-                quarantined.digest() != row.digest && (role == RowRole::Leader || !quarantined.is_empty());
-            if is_needed {
+            let may_write = schedule.may_remove() || !quarantined.is_empty();
+            if may_write && quarantined.digest() != row.digest {
                 known = write_row(&gateway, row, &quarantined, era).await;
             }
         }
     }
 }
 
-fn row_role(gateway: &Gateway) -> RowRole {
-    let now = gateway.now();
+fn next_step(gateway: &Gateway, schedule: &mut RowSchedule) -> RowStep {
     let state = gateway.lock();
-    let is_informed = state.last_leader_contact.is_some_and(|at| now.since_ms(at) < LEADERLESS_MS);
-    if state.lead.is_some() {
-        RowRole::Leader
-    } else if !is_informed {
-        RowRole::Leaderless
-    } else {
-        RowRole::Follower
-    }
+    let contact = LeaderContact { leads: state.lead.is_some(), last_at: state.last_leader_contact };
+    schedule.step(contact, state.fleet_members(&gateway.settings.name), gateway.now())
 }
 
 async fn read_row(gateway: &Gateway, era: StoreEra) -> Option<QuarantineRow> {
     let result = gateway.store.read(QUARANTINE_KEY).await;
     gateway.metrics.count_store_call("quarantine_read", result.is_err());
-    // The store is read again at the next check.
+    // A row that could not be read is read again when that is due.
     let row = result.ok()?;
     Some(take_row(gateway, row, era))
 }
@@ -109,7 +71,7 @@
     let copy = row.map_or_else(CrashLogCopy::default, |row| decode(gateway, &row));
     let mut state = gateway.lock();
     merge_crashes(gateway, &mut state, &copy, gateway.crash_time());
-    QuarantineRow { version, digest: copy.digest(), known_at: gateway.now(), era }
+    QuarantineRow { version, digest: copy.digest(), era }
 }
 
 /// Crashes in a row. One that cannot be read counts as empty, and is overwritten.
@@ -144,7 +106,7 @@
         return Some(take_row(gateway, current, era));
     }
     let version = outcome.versions.first().copied();
-    Some(QuarantineRow { version, digest: quarantined.digest(), known_at: gateway.now(), era })
+    Some(QuarantineRow { version, digest: quarantined.digest(), era })
 }
 
 fn log_write(gateway: &Gateway, quarantined: &CrashLogCopy, result: &Result<bool, &PlatformError>) {
