docs, fleet: the row's reads and ended upstreams; a report's row stays as it was while no upstream has ended

The list of ended upstreams is left out of a report's row while it is empty, so rows keep their 250 bytes (docs/CAPACITY.md) and look as before to a router of an earlier build.

--- a/crates/cowslip-fleet/src/report_row.rs
+++ b/crates/cowslip-fleet/src/report_row.rs
@@ -42,6 +42,6 @@
     /// Progress of the report.
     pub state: ReportState,
     /// Upstreams that had ended under it when its last owner released it, in order.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ended_upstreams: Vec<UpstreamId>,
 }
