--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -302,7 +302,10 @@
 
 fn json_answer(status: &str, body: &Value) -> String {
     let body = body.to_string();
-    format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 fn listen_again(address: SocketAddr) -> io::Result<TcpListener> {
--- a/review/harness/src/refused.rs
+++ b/review/harness/src/refused.rs
@@ -48,7 +48,8 @@
         }
         let gateway = &world.gateways[number % world.gateways.len()];
         let other = &world.gateways[(number + 3) % world.gateways.len()];
-        let (first, second) = ((gateway.name.clone(), gateway.frontend), (other.name.clone(), other.frontend));
+        let (first, second) =
+            ((gateway.name.clone(), gateway.frontend), (other.name.clone(), other.frontend));
         let record = record.clone();
         clients.spawn(async move {
             let call = |attempt: usize| Call {
@@ -60,7 +61,8 @@
                 headers: Vec::new(),
                 body: format!("repair order {number}"),
             };
-            let mut seen = vec![(call(1).id, send_recorded(&record, &first.0, first.1, &call(1)).await.status)];
+            let mut seen =
+                vec![(call(1).id, send_recorded(&record, &first.0, first.1, &call(1)).await.status)];
             if matches!(seen[0].1, 408 | 421 | 429 | 503) {
                 // The promise allows the client to send its order once more.
                 sleep(Duration::from_millis(100)).await;
