--- a/review/harness/src/app_server.rs
+++ b/review/harness/src/app_server.rs
@@ -25,6 +25,8 @@
     pub id: String,
     /// Body.
     pub body: String,
+    /// Time in ms at which the run began.
+    pub at_ms: u64,
 }
 
 /// A running server.
@@ -112,7 +114,7 @@
             );
         }
         let body = String::from_utf8_lossy(body).into_owned();
-        lock(&self.runs).push(Run { id: id.clone(), body: body.clone() });
+        lock(&self.runs).push(Run { id: id.clone(), body: body.clone(), at_ms: self.record.now_ms() });
         self.record.line(&format!("server {}: runs {id} ({body})", self.id));
         sleep(Duration::from_millis(WORK_MS)).await;
         let number = self.arrivals.fetch_add(1, Ordering::Relaxed);
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod poison;
 mod refused;
+mod revoked;
 mod world;
 
 use std::path::PathBuf;
@@ -34,6 +35,7 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let result = match case.as_str() {
         "refused" => refused::play(&record, trouble).await,
+        "revoked" => revoked::play(&record, trouble).await,
         "poison" => poison::play(&record, trouble).await,
         _ => Err("no such case".into()),
     };
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -22,6 +22,9 @@
 /// Key of the tenant whose key stays.
 pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
 
+/// Key that a case may take away.
+pub const OTHER_KEY: &str = "k2v81ssu4pp0qq7aa3ge";
+
 /// Interval in ms of the servers' heartbeats.
 pub const HEARTBEAT_MS: u64 = 1_200;
 
@@ -95,6 +98,8 @@
     pub frontend: SocketAddr,
     /// Address of the readiness check.
     pub readiness: SocketAddr,
+    /// Address for other gateways, which names it in the project's rows.
+    pub internal: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -114,13 +119,14 @@
             name,
             frontend: address(ports[0]),
             readiness: address(ports[1]),
+            internal: address(ports[2].min(ports[3])),
             settings,
             child: None,
         }
     }
 
     /// Starts the process as the platform does.
-    fn start(&mut self) {
+    pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
         let child = Command::new("target/release/cowslip-gateway")
             .current_dir(root())
@@ -133,7 +139,7 @@
     }
 
     /// Kills the process.
-    fn kill(&mut self) {
+    pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // One that has ended by itself only needs to be reaped.
             drop(child.kill());
@@ -142,7 +148,7 @@
     }
 
     /// True when the readiness check succeeds.
-    async fn is_ready(&self) -> bool {
+    pub async fn is_ready(&self) -> bool {
         let call = Call {
             method: "GET",
             path: "/-/readyz".to_owned(),
@@ -326,6 +332,12 @@
         in_time
     }
 
+    /// Index of the gateway that last wrote to the store under a condition: the holder of the lease.
+    pub fn leader(&self) -> Option<usize> {
+        let row = self.store.value("cowslip", "lease/controller")?;
+        self.gateways.iter().position(|gateway| row.contains(&format!("{}\"", gateway.internal)))
+    }
+
     /// Writes a configuration as the operator does.
     pub fn put_config(&self, version: u64, keys: &[&str]) {
         self.store.put("op", "config", &config(version, keys));
