gateway: the leader's work and the loads that have not begun are logged and counted

The logs could not tell why a load that requests wait for is not begun, which loads use the weight store, or how long a plan and an answer to a report take. New: the lines leader_work (once a second) and load_delayed, gauges of loads by cause and of delayed loads by reason, histograms of the wait until a load begins and of the processor time of plans and answers, and the processor time of the process.

--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -12,11 +12,12 @@
 
 use crate::model_answer::{model_answered, task_left_ms};
 use crate::planned_engine::{EngineTask, TaskStage, load_ms};
-use crate::store_slots::{LoadCause, StoreSlots};
+use crate::store_slots::StoreSlots;
 use crate::store_speed::{RunningLoad, StoreSpeed};
 use crate::{
-    DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport, ModelDemand, ModelRate,
-    OrderAge, OrderAnswer, PlanStep, PlannedEngine, ServiceRule, StoreLimit, UpstreamEntry, WeightTier,
+    BegunLoad, DelayedLoad, DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport,
+    LoadCause, LoadDelay, ModelDemand, ModelRate, OrderAge, OrderAnswer, PlanStep, PlanSummary,
+    PlannedEngine, ServiceRule, StoreLimit, StoreUse, UpstreamEntry, WeightTier,
 };
 use victim_choice::{LoadNeed, LoadPlace};
 
@@ -79,6 +80,9 @@
     orders_from: ClockTime,
     /// Times from which single engines may get orders, according to the previous leader's handover; sorted.
     held_back: Vec<(UpstreamId, ClockTime)>,
+    /// Loads that requests wait for, as far as the last step has begun them or could not.
+    begun: Vec<BegunLoad>,
+    delayed: Vec<DelayedLoad>,
 }
 
 impl LoadPlanner {
@@ -96,6 +100,8 @@
             fetched_at: ClockTime::ZERO,
             orders_from,
             held_back: Vec::new(),
+            begun: Vec::new(),
+            delayed: Vec::new(),
         }
     }
 
@@ -229,6 +235,8 @@
     /// Orders and status queries to be sent now.
     pub fn step(&mut self, services: &[ServiceRule], now: ClockTime) -> Vec<PlanStep> {
         self.demand.refresh(now);
+        self.begun.clear();
+        self.delayed.clear();
         let mut steps = Vec::new();
         self.query_engines(now, &mut steps);
         if now < self.orders_from {
@@ -277,6 +285,20 @@
         self.engines.iter().filter(from_store).count()
     }
 
+    /// What the last step found.
+    pub fn summary(&self) -> PlanSummary {
+        let from_store = |task: &&EngineTask| task.tier == WeightTier::Store;
+        let store_use = |cause: LoadCause| {
+            let tasks = self.engines.iter().filter_map(|engine| engine.task.as_ref()).filter(from_store);
+            StoreUse { cause, loads: tasks.filter(|task| task.cause == cause).count() }
+        };
+        PlanSummary {
+            delayed: self.delayed.clone(),
+            begun: self.begun.clone(),
+            store: LoadCause::ALL.map(store_use).to_vec(),
+        }
+    }
+
     /// Counts the engines that hold or are about to hold each model.
     fn count_replicas(&mut self, service: &ServiceId) {
         let mut models: Vec<ModelId> = Vec::new();
@@ -326,8 +348,14 @@
             by_number.then(right.oldest_ms.cmp(&left.oldest_ms))
         });
         for demand in waiting {
-            if self.replicas(&demand.model) == 0 {
-                self.start_load(service, rule, &demand.model, LoadCause::Waiting, now);
+            if self.replicas(&demand.model) > 0 {
+                continue;
+            }
+            let outcome = self.start_load(service, rule, &demand.model, LoadCause::Waiting, now);
+            let ModelDemand { model, oldest_ms, .. } = demand;
+            match outcome {
+                Ok(tier) => self.begun.push(BegunLoad { model, oldest_ms, tier }),
+                Err(delay) => self.delayed.push(DelayedLoad { model, oldest_ms, delay }),
             }
         }
     }
@@ -364,7 +392,8 @@
                 self.slots.record_hot_demand(now);
             }
             let cause = if hot { LoadCause::Hot } else { LoadCause::Replica };
-            self.start_load(service, rule, &demand.model, cause, now);
+            // A load that can't begin now is tried again with the next plan.
+            let _ = self.start_load(service, rule, &demand.model, cause, now);
         }
     }
 
@@ -395,12 +424,16 @@
         let missing = rule.models.iter().map(|model| &model.name).filter(|model| !copied(model));
         let next = missing.max_by(|left, right| rate(left).total_cmp(&rate(right))).cloned();
         match next {
-            Some(model) => self.start_load(service, rule, &model, LoadCause::Ahead, now),
+            Some(model) => {
+                // A load that can't begin now is tried again after the pause.
+                let _ = self.start_load(service, rule, &model, LoadCause::Ahead, now);
+            }
             None => self.fetched_at = now.plus_ms(ALL_COPIED_PAUSE_MS),
         }
     }
 
-    /// Begins a load on the engine with the lowest cost. Models in use are evicted only for waiting requests.
+    /// Begins a load on the engine with the lowest cost, and returns the place of the weights. Models in use are evicted only
+    /// for waiting requests.
     fn start_load(
         &mut self,
         service: &ServiceId,
@@ -408,8 +441,8 @@
         model: &ModelId,
         cause: LoadCause,
         now: ClockTime,
-    ) {
-        let Some(model_rule) = rule.model(model) else { return };
+    ) -> Result<WeightTier, LoadDelay> {
+        let Some(model_rule) = rule.model(model) else { return Err(LoadDelay::NoEngine) };
         let need = LoadNeed {
             rule,
             model: model_rule,
@@ -445,10 +478,18 @@
                 self.consider(at, WeightTier::Store, &need, &mut best);
             }
         }
-        let Some(LoadPlace { cost, at, victims, tier }) = best else { return };
+        let Some(LoadPlace { cost, at, victims, tier }) = best else {
+            return Err(if soonest_busy < store_ms {
+                LoadDelay::EngineBusy
+            } else if may_fetch {
+                LoadDelay::NoEngine
+            } else {
+                LoadDelay::StoreBusy
+            });
+        };
         if cost > soonest_busy + BUSY_MARGIN_MS {
             // Waiting for an engine with a nearer copy of the weights costs less.
-            return;
+            return Err(LoadDelay::EngineBusy);
         }
         if tier == WeightTier::Store {
             self.slots.take();
@@ -461,12 +502,14 @@
             engine.task = Some(EngineTask {
                 model: model.clone(),
                 tier,
+                cause,
                 victims,
                 stage: TaskStage::Send(now),
                 started_at: now,
                 conflicts: 0,
             });
         }
+        Ok(tier)
     }
 
     fn send_tasks(
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::model_answer::IN_DOUBT_RETRY_MS;
-use crate::{EngineAction, EngineRule, EngineStatus, HeldModel, ModelRule, UpstreamEntry};
+use crate::{EngineAction, EngineRule, EngineStatus, HeldModel, LoadCause, ModelRule, UpstreamEntry};
 
 /// Nearest place of a model's weights for an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,6 +17,20 @@
     Store,
 }
 
+impl WeightTier {
+    /// All places, nearest first.
+    pub const ALL: [Self; 3] = [Self::Memory, Self::Disk, Self::Store];
+
+    /// Name in log lines and labels of metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Disk => "disk",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// Progress of a change of an engine's models.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum TaskStage {
@@ -33,6 +47,7 @@
 pub(crate) struct EngineTask {
     pub(crate) model: ModelId,
     pub(crate) tier: WeightTier,
+    pub(crate) cause: LoadCause,
     pub(crate) victims: Vec<ModelId>,
     pub(crate) stage: TaskStage,
     pub(crate) started_at: ClockTime,
--- a/crates/cowslip-entry/src/store_slots.rs
+++ b/crates/cowslip-entry/src/store_slots.rs
@@ -6,7 +6,7 @@
 
 use cowslip_units::ClockTime;
 
-use crate::{LoadBudget, StoreLimit};
+use crate::{LoadBudget, LoadCause, StoreLimit};
 
 /// Largest share of the full-speed loads that may run ahead of demand.
 const AHEAD_SHARE: f64 = 0.75;
@@ -18,19 +18,6 @@
 /// Factor by which loads of hot models may exceed the number of loads that run at full speed.
 const HOT_FACTOR: usize = 2;
 
-/// Why a model is loaded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LoadCause {
-    /// Requests wait for it, and no engine holds it.
-    Waiting,
-    /// It lacks several replicas, so that its engines reject requests.
-    Hot,
-    /// It needs one more replica.
-    Replica,
-    /// No request has asked for it yet, and no engine has a copy of it.
-    Ahead,
-}
-
 /// Slots for loads from the weight store.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreSlots {
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -33,6 +33,20 @@
     pub cause: &'static str,
 }
 
+/// Why a model is loaded, or why a load has not begun.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabels {
+    /// Cause as in the log line.
+    pub cause: &'static str,
+}
+
+/// Place from which the weights of a model are loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TierLabels {
+    /// `memory`, `disk` or `store`.
+    pub tier: &'static str,
+}
+
 /// Priority class of a request in the admission queue.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ClassLabels {
@@ -47,11 +61,16 @@
     }
 }
 
-/// Buckets of all times: 1 ms to 33 s.
+/// Buckets of times: 1 ms to 33 s.
 fn times() -> Histogram {
     Histogram::new(exponential_buckets(0.001, 2.0, 16))
 }
 
+/// Buckets of processor times: 10 µs to 0.33 s.
+fn processor_times() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_01, 2.0, 16))
+}
+
 /// All metrics of a gateway. Label values come from fixed sets, so the number of series is bounded.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -132,6 +151,18 @@
     pub store_s: Histogram,
     /// Delay in seconds with which timers of this process fire.
     pub timer_late_s: Histogram,
+    /// Loads from the weight store that this gateway, as leader, has ordered and that have not ended, by cause.
+    pub store_loads: Family<CauseLabels, Gauge>,
+    /// Loads that requests wait for and that this gateway, as leader, has not begun, by reason.
+    pub delayed_loads: Family<CauseLabels, Gauge>,
+    /// Longest wait in seconds of a model's requests as its load began, by the place of the weights.
+    pub load_wait_s: Family<TierLabels, Histogram>,
+    /// Processor time in seconds of one plan.
+    pub plan_s: Histogram,
+    /// Processor time in seconds of the answer to one report, without its transport.
+    pub answer_s: Histogram,
+    /// Processor time in seconds that the process has used.
+    pub processor_s: Gauge<f64, AtomicU64>,
 }
 
 impl GatewayMetrics {
@@ -177,6 +208,12 @@
             queued_s: Family::new_with_constructor(times),
             store_s: times(),
             timer_late_s: times(),
+            store_loads: Family::default(),
+            delayed_loads: Family::default(),
+            load_wait_s: Family::new_with_constructor(times),
+            plan_s: processor_times(),
+            answer_s: processor_times(),
+            processor_s: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -254,6 +291,33 @@
         );
         registry.register("store_seconds", "Time of store calls", self.store_s.clone());
         registry.register("timer_late_seconds", "How late own timers fire", self.timer_late_s.clone());
+        self.register_leader_work();
+    }
+
+    fn register_leader_work(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("store_loads", "Loads from the weight store, by cause", self.store_loads.clone());
+        registry.register(
+            "delayed_loads",
+            "Loads that requests wait for and that have not begun, by reason",
+            self.delayed_loads.clone(),
+        );
+        registry.register(
+            "load_wait_seconds",
+            "Longest wait for a load until it began, by place of the weights",
+            self.load_wait_s.clone(),
+        );
+        registry.register("plan_seconds", "Processor time of a plan", self.plan_s.clone());
+        registry.register(
+            "report_answer_seconds",
+            "Processor time of an answer to a report",
+            self.answer_s.clone(),
+        );
+        registry.register(
+            "processor_seconds",
+            "Processor time that the process has used",
+            self.processor_s.clone(),
+        );
     }
 
     /// Counts connections that were closed or refused at the limit of a listener.
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -8,7 +8,7 @@
 use cowslip_entry::{UsageMeter, WallClock};
 use cowslip_fleet::LeaseHolder;
 use cowslip_rpc::GatewayApiServer;
-use cowslip_runtime::{ProcessClock, SharedLimiter, ShutdownSignal, random_hex};
+use cowslip_runtime::{ProcessClock, SharedLimiter, ShutdownSignal, process_time_us, random_hex};
 use cowslip_units::{IncarnationId, VmId, drain_violations};
 use jsonrpsee::server::{Server, ServerConfig};
 use slog::{Logger, error, info, warn};
@@ -156,6 +156,7 @@
         gateway.pool.close_idle();
         expire_crashes(&gateway);
         report_connections(&gateway);
+        gateway.metrics.processor_s.set(process_time_us() as f64 / 1e6);
         let counts = line_limiter.lock().unwrap_or_else(PoisonError::into_inner).take_suppressed();
         for (kind, count) in counts {
             gateway.metrics.lines_suppressed.inc_by(count);
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -21,6 +21,7 @@
 use crate::gateway_state::{Gateway, GatewayState};
 use crate::lease_task::{SMALL_FLEET, accept_handover, resign_if_store_unreachable};
 use crate::peer_clients::PeerClients;
+use crate::plan_record::{WorkTimer, record_answer};
 use crate::standalone_share::raise_fleet_size;
 use crate::view_copy::{apply_upstream_updates, apply_view_copy, view_copy};
 
@@ -72,6 +73,7 @@
 
 /// Answers a report: as the leader, or by naming the known leader.
 pub(crate) fn answer_report(gateway: &Gateway, report: GatewayReport) -> LeaderAnswer {
+    let timer = WorkTimer::start();
     let now = gateway.now();
     let lease = lease_renewal(gateway, now);
     let urgent = report.demand.iter().any(|line| line.waiting > 0);
@@ -117,6 +119,7 @@
         crash_cursor: CrashCursor { term: fence, revision: log.cursor() },
         ..answer
     };
+    record_answer(gateway, &mut lead.work, timer);
     // Each plan allows full snapshots for more gateways, and deferred ones wait for theirs.
     if urgent || (answer.deferred && !answer.brief) {
         gateway.plan_now.notify_one();
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -12,6 +12,7 @@
 
 use crate::capacity_record::is_paced;
 use crate::lease_task::SMALL_FLEET;
+use crate::plan_record::PlanRecord;
 
 /// Maximum number of peer addresses in an answer.
 const MAX_PEERS: usize = 8;
@@ -33,6 +34,8 @@
     pub duties: Option<DutyGate>,
     /// Usage windows; `None` where usage is not reported.
     pub usage: Option<UsageLedger>,
+    /// Work since the last log line about it.
+    pub work: PlanRecord,
     clocks: ClockMedian,
     pace: FleetPace,
     addresses: Vec<(SmolStr, SocketAddr)>,
@@ -48,6 +51,7 @@
             grants,
             duties: None,
             usage: None,
+            work: PlanRecord::default(),
             clocks: ClockMedian::new(),
             pace: FleetPace::default(),
             addresses: Vec::new(),
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
 //! - store and other gateways: `store_watch`, `table_rows`, `view_copy`, `leader_exchange`, `report_builder`, `peer_clients`
-//! - leader role: `lease_task`, `leader_state`, `plan_task`
+//! - leader role: `lease_task`, `leader_state`, `plan_task`, `plan_record`
 //! - singleton calls to the cloud API: `duty_calls`, `duty_usage`, `duty_scaling`, `duty_rows`, `duty_counts`, `duty_status`
 //! - logs, metrics and the explanation of a request: `gateway_log`, `gateway_metrics`, `explain_page`
 
@@ -51,6 +51,7 @@
 mod part_guard;
 mod peer_clients;
 mod plain_call;
+mod plan_record;
 mod plan_task;
 mod quarantine_store;
 mod queue_choice;
--- a/crates/cowslip-gateway/src/plan_task.rs
+++ b/crates/cowslip-gateway/src/plan_task.rs
@@ -17,6 +17,7 @@
 use crate::gateway_metrics::OutcomeLabels;
 use crate::gateway_state::Gateway;
 use crate::lease_task::ORDER_VALIDITY_MS;
+use crate::plan_record::{WorkTimer, record_plan};
 use crate::upstream_notice::record_notice;
 use crate::upstream_pool::SendFault;
 
@@ -72,6 +73,7 @@
 }
 
 fn plan(gateway: &Gateway) -> Vec<(PlanStep, FencingToken)> {
+    let timer = WorkTimer::start();
     let now = gateway.now();
     let mut state = gateway.lock();
     let state = &mut *state;
@@ -96,6 +98,8 @@
     let steps = lead.planner.step(config.services(), now);
     lead.record_updates(&state.upstreams, confirmed, now);
     lead.sync_pace(&state.upstreams, config.services(), now);
+    let summary = lead.planner.summary();
+    record_plan(gateway, &mut lead.work, &summary, timer, now);
     steps.into_iter().map(|step| (step, fence)).collect()
 }
 
