--- a/crates/cowslip-entry/tests/entry/main.rs
+++ b/crates/cowslip-entry/tests/entry/main.rs
@@ -22,6 +22,7 @@
 mod limit_runs;
 mod notice_cases;
 mod pace_cases;
+mod plan_cost_cases;
 mod planner_cases;
 mod planner_runs;
 mod quarantine_runs;
