entry: a plan looks only at engines with a copy of the weights, however many models wait

What callers saw: on the large site requests for rare models were held for seconds and refused, and others were refused as rate limited.

The pause after a plan is six times its time, and an engine gets one step a plan, so the leader planned once in two seconds: the backlog made plans slow, and slow plans made the backlog.

Change: an index of the engines with a copy of each model, changed with the entries; the shortest wait for a busy engine is found once a plan; a task knows its load time.

--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod caller_limits;
 mod change_log;
 mod clock_median;
+mod copy_index;
 mod crash_log;
 mod crash_messages;
 mod crash_record;
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -10,13 +10,14 @@
 
 use cowslip_units::{ClockTime, ModelId, ServiceId, UpstreamId};
 
+use crate::copy_index::CopyIndex;
 use crate::model_answer::{model_answered, task_left_ms};
 use crate::planned_engine::{EngineTask, TaskStage, load_ms};
 use crate::store_slots::StoreSlots;
 use crate::store_speed::{RunningLoad, StoreSpeed};
 use crate::{
     BegunLoad, DelayedLoad, DemandTable, EngineAction, EngineOrder, EngineRule, EngineStatus, GatewayReport,
-    LoadCause, LoadDelay, ModelDemand, ModelRate, OrderAge, OrderAnswer, PlanStep, PlanSummary,
+    LoadCause, LoadDelay, ModelDemand, ModelRate, ModelRule, OrderAge, OrderAnswer, PlanStep, PlanSummary,
     PlannedEngine, ServiceRule, StoreLimit, StoreUse, UpstreamEntry, WeightTier,
 };
 use victim_choice::{LoadNeed, LoadPlace};
@@ -61,6 +62,10 @@
 #[derive(Clone, Debug)]
 pub struct LoadPlanner {
     engines: Vec<PlannedEngine>,
+    /// Engines with a copy of each model's weights.
+    copies: CopyIndex,
+    /// Shortest time in ms until a busy engine of the current service is free; infinite when none is busy.
+    least_busy_ms: f64,
     demand: DemandTable,
     /// Slots for loads from the weight store.
     slots: StoreSlots,
@@ -90,6 +95,8 @@
     pub fn new(limit: StoreLimit, orders_from: ClockTime, now: ClockTime) -> Self {
         Self {
             engines: Vec::new(),
+            copies: CopyIndex::default(),
+            least_busy_ms: f64::INFINITY,
             demand: DemandTable::new(now),
             slots: StoreSlots::new(limit, now),
             replicas: Vec::new(),
@@ -161,16 +168,22 @@
         let mut known = std::mem::take(&mut self.engines).into_iter().peekable();
         self.engines.reserve(entries.len());
         for entry in entries {
-            while known.next_if(|engine| engine.entry.id < entry.id).is_some() {}
+            while let Some(engine) = known.next_if(|engine| engine.entry.id < entry.id) {
+                engine.leave_index(&mut self.copies);
+            }
             let engine = known.next_if(|engine| engine.entry.id == entry.id);
             let mut engine = engine.unwrap_or_else(|| {
                 let orders_from = orders_from_of(&self.held_back, &entry.id);
                 PlannedEngine::new(entry.clone(), now).with_orders_from(orders_from)
             });
             engine.update(entry, now);
+            engine.update_index(&mut self.copies);
             engine.closed = is_closed(&engine.entry);
             self.engines.push(engine);
         }
+        for engine in known {
+            engine.leave_index(&mut self.copies);
+        }
     }
 
     /// Applies an engine's status; `None` when it did not answer.
@@ -216,7 +229,7 @@
     }
 
     /// Applies the outcome of an order.
-    pub fn answered(&mut self, order: &EngineOrder, answer: OrderAnswer, rule: &EngineRule, now: ClockTime) {
+    pub fn answered(&mut self, order: &EngineOrder, answer: OrderAnswer, now: ClockTime) {
         let Ok(at) = self.find(&order.upstream) else { return };
         let Some(engine) = self.engines.get_mut(at) else { return };
         if answer != OrderAnswer::NotSent {
@@ -224,7 +237,7 @@
         }
         match &order.action {
             EngineAction::Load(_) | EngineAction::Unload(_) => {
-                model_answered(engine, order, answer, rule, now);
+                model_answered(engine, order, answer, now);
             }
             EngineAction::LoadAdapter(..) | EngineAction::UnloadAdapter(..) => {
                 crate::adapter_plan::adapter_answered(engine, order, answer, now);
@@ -252,6 +265,7 @@
             self.slots.set_measured(self.is_load_aware.then_some(self.store_speed.at_once()));
             self.slots.refill(rule.loads_per_s, now);
             self.count_replicas(&service.name);
+            self.least_busy_ms = self.least_busy_ms(&service.name, now);
             // Adapters go first: one takes milliseconds, and an engine accepts none while it loads a model.
             self.plan_adapters(&service.name, rule, now, &mut steps);
             self.serve_waiting(&service.name, rule, now);
@@ -341,17 +355,15 @@
 
     /// Loads models that requests wait for, the one with the most waiting requests first.
     fn serve_waiting(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
-        let waits = |demand: &&ModelDemand| demand.waiting > 0 && rule.model(&demand.model).is_some();
+        let waits = |demand: &&ModelDemand| demand.waiting > 0 && self.replicas(&demand.model) == 0;
         let mut waiting: Vec<ModelDemand> = self.demand.models().iter().filter(waits).cloned().collect();
         waiting.sort_by(|left, right| {
             let by_number = right.waiting.cmp(&left.waiting);
             by_number.then(right.oldest_ms.cmp(&left.oldest_ms))
         });
         for demand in waiting {
-            if self.replicas(&demand.model) > 0 {
-                continue;
-            }
-            let outcome = self.start_load(service, rule, &demand.model, LoadCause::Waiting, now);
+            let Some(model) = rule.model(&demand.model) else { continue };
+            let outcome = self.start_load(service, rule, model, LoadCause::Waiting, now);
             let ModelDemand { model, oldest_ms, .. } = demand;
             match outcome {
                 Ok(tier) => self.begun.push(BegunLoad { model, oldest_ms, tier }),
@@ -378,31 +390,41 @@
     fn add_replicas(&mut self, service: &ServiceId, rule: &EngineRule, now: ClockTime) {
         let engines = self.engines.iter().filter(|engine| engine.entry.service == *service).count();
         let crowded = |demand: &&ModelDemand| demand.per_s >= BUSY_PER_S || demand.waiting > 0;
-        let declared = |demand: &&ModelDemand| rule.model(&demand.model).is_some();
-        let busy = self.demand.models().iter().filter(crowded).filter(declared);
+        let lacks =
+            |demand: &&ModelDemand| self.replicas(&demand.model) < self.wanted_replicas(demand, engines);
+        let busy = self.demand.models().iter().filter(crowded).filter(lacks);
         let mut busy: Vec<ModelDemand> = busy.cloned().collect();
         busy.sort_by(|left, right| right.per_s.total_cmp(&left.per_s));
         for demand in &busy {
+            let Some(model) = rule.model(&demand.model) else { continue };
             let (held, wanted) = (self.replicas(&demand.model), self.wanted_replicas(demand, engines));
-            if held >= wanted {
-                continue;
-            }
             let hot = wanted - held >= HOT_DEFICIT;
             if hot && !self.has_near_copy(&demand.model) {
                 self.slots.record_hot_demand(now);
             }
             let cause = if hot { LoadCause::Hot } else { LoadCause::Replica };
             // A load that can't begin now is tried again with the next plan.
-            let _ = self.start_load(service, rule, &demand.model, cause, now);
+            let _ = self.start_load(service, rule, model, cause, now);
         }
     }
 
     /// True when an engine that does not hold the model has a copy of its weights.
     fn has_near_copy(&self, model: &ModelId) -> bool {
-        let near = |engine: &PlannedEngine| {
-            !engine.closed && !engine.entry.holds(model) && engine.tier(model) != WeightTier::Store
-        };
-        self.engines.iter().any(near)
+        let mut copied = self.copies.engines(model).iter().filter_map(|id| self.engine(id));
+        copied.any(|engine| !engine.closed && !engine.entry.holds(model))
+    }
+
+    fn engine(&self, id: &UpstreamId) -> Option<&PlannedEngine> {
+        self.engines.get(self.find(id).ok()?)
+    }
+
+    /// Shortest time in ms until a busy engine of a service is free.
+    fn least_busy_ms(&self, service: &ServiceId, now: ClockTime) -> f64 {
+        let busy = self
+            .engines
+            .iter()
+            .filter(|engine| engine.entry.service == *service && !engine.closed && !engine.is_free(now));
+        busy.map(|engine| busy_ms(engine, now)).fold(f64::INFINITY, f64::min)
     }
 
     /// Loads models that no engine has on its disk, while the weight store has capacity left.
@@ -413,20 +435,14 @@
             return;
         }
         self.fetched_at = now;
-        let mut copies: Vec<&ModelId> = Vec::new();
-        for engine in &self.engines {
-            copies.extend(engine.entry.in_memory.iter().chain(&engine.entry.on_disk));
-        }
-        copies.sort();
-        copies.dedup();
-        let copied = |model: &ModelId| copies.binary_search(&model).is_ok() || self.replicas(model) > 0;
+        let copied = |model: &ModelId| !self.copies.engines(model).is_empty() || self.replicas(model) > 0;
         let rate = |model: &ModelId| self.demand.get(model).map_or(0.0, |demand| demand.per_s);
-        let missing = rule.models.iter().map(|model| &model.name).filter(|model| !copied(model));
-        let next = missing.max_by(|left, right| rate(left).total_cmp(&rate(right))).cloned();
+        let missing = rule.models.iter().filter(|model| !copied(&model.name));
+        let next = missing.max_by(|left, right| rate(&left.name).total_cmp(&rate(&right.name)));
         match next {
             Some(model) => {
                 // A load that can't begin now is tried again after the pause.
-                let _ = self.start_load(service, rule, &model, LoadCause::Ahead, now);
+                let _ = self.start_load(service, rule, model, LoadCause::Ahead, now);
             }
             None => self.fetched_at = now.plus_ms(ALL_COPIED_PAUSE_MS),
         }
@@ -438,11 +454,11 @@
         &mut self,
         service: &ServiceId,
         rule: &EngineRule,
-        model: &ModelId,
+        model_rule: &ModelRule,
         cause: LoadCause,
         now: ClockTime,
     ) -> Result<WeightTier, LoadDelay> {
-        let Some(model_rule) = rule.model(model) else { return Err(LoadDelay::NoEngine) };
+        let model = &model_rule.name;
         let need = LoadNeed {
             rule,
             model: model_rule,
@@ -452,30 +468,29 @@
         };
         let store_ms = load_ms(model_rule, WeightTier::Store) as f64;
         let mut best: Option<LoadPlace> = None;
-        let mut soonest_busy = f64::INFINITY;
-        let mut far = Vec::new();
-        for (at, engine) in self.engines.iter().enumerate() {
+        let mut soonest_busy = self.least_busy_ms + store_ms;
+        let copied = self.copies.engines(model);
+        for at in copied.iter().filter_map(|id| self.find(id).ok()) {
+            let Some(engine) = self.engines.get(at) else { continue };
             if engine.entry.service != *service || engine.closed || engine.entry.holds(model) {
                 continue;
             }
             let tier = engine.tier(model);
-            if !engine.is_free(now) {
-                let wait_ms =
-                    engine.task.as_ref().map_or(VICTIM_CALLS_MS, |task| task_left_ms(task, rule, now));
-                let wait_ms = wait_ms.max(engine.orders_from.since_ms(now) as f64);
-                soonest_busy = soonest_busy.min(wait_ms + load_ms(model_rule, tier) as f64);
-            } else if tier == WeightTier::Store {
-                far.push(at);
-            } else {
+            if engine.is_free(now) {
                 self.consider(at, tier, &need, &mut best);
+            } else {
+                soonest_busy = soonest_busy.min(busy_ms(engine, now) + load_ms(model_rule, tier) as f64);
             }
         }
         // Engines without a copy, of which there are many, are considered only where they could be cheaper.
         let may_fetch = self.slots.can_start(self.store_loads(), cause, now);
         let is_store_competitive = store_ms <= soonest_busy + BUSY_MARGIN_MS;
         if may_fetch && is_store_competitive && best.as_ref().is_none_or(|place| place.cost > store_ms) {
-            for at in far {
-                self.consider(at, WeightTier::Store, &need, &mut best);
+            for (at, engine) in self.engines.iter().enumerate() {
+                let is_open = engine.entry.service == *service && !engine.entry.holds(model);
+                if is_open && engine.is_free(now) && copied.binary_search(&engine.entry.id).is_err() {
+                    self.consider(at, WeightTier::Store, &need, &mut best);
+                }
             }
         }
         let Some(LoadPlace { cost, at, victims, tier }) = best else {
@@ -503,6 +518,7 @@
                 model: model.clone(),
                 tier,
                 cause,
+                load_ms: load_ms(model_rule, tier),
                 victims,
                 stage: TaskStage::Send(now),
                 started_at: now,
@@ -520,13 +536,13 @@
         steps: &mut Vec<PlanStep>,
     ) {
         for engine in self.engines.iter_mut().filter(|engine| engine.entry.service == *service) {
-            let used_mb = engine.used_mb(rule);
-            let Some(task) = engine.task.as_mut() else { continue };
-            let TaskStage::Send(at) = task.stage else { continue };
+            let Some(EngineTask { stage: TaskStage::Send(at), .. }) = engine.task else { continue };
             let waits = now < at.max(engine.orders_from);
             if waits || engine.is_querying || engine.query_at.is_some() || engine.adapter_sent.is_some() {
                 continue;
             }
+            let used_mb = engine.used_mb(rule);
+            let Some(task) = engine.task.as_mut() else { continue };
             let held = |model: &&ModelId| engine.entry.models.iter().any(|held| held.name == **model);
             let victim = task.victims.iter().find(held).cloned();
             let size_mb = rule.model(&task.model).map_or(rule.memory_mb, |model| model.size_mb);
@@ -570,6 +586,12 @@
     }
 }
 
+/// Time in ms until a busy engine may get orders.
+fn busy_ms(engine: &PlannedEngine, now: ClockTime) -> f64 {
+    let task_ms = engine.task.as_ref().map_or(VICTIM_CALLS_MS, |task| task_left_ms(task, now));
+    task_ms.max(engine.orders_from.since_ms(now) as f64)
+}
+
 /// Time from which an engine may get orders, according to a sorted list.
 fn orders_from_of(held_back: &[(UpstreamId, ClockTime)], id: &UpstreamId) -> ClockTime {
     let at = held_back.binary_search_by(|(held, _)| held.cmp(id)).ok();
--- a/crates/cowslip-entry/src/load_planner/plan_updates.rs
+++ b/crates/cowslip-entry/src/load_planner/plan_updates.rs
@@ -6,8 +6,8 @@
 
 use super::LoadPlanner;
 use crate::adapter_plan::has_arrived;
-use crate::planned_engine::{TaskStage, load_ms};
-use crate::{ArrivalLine, PlaceLine, PlannedEngine, ServiceRule, WeightTier};
+use crate::planned_engine::{EngineTask, TaskStage};
+use crate::{ArrivalLine, PlaceLine, PlannedEngine, WeightTier};
 
 /// An engine counts as busy when its calls reach its slots divided by this.
 const BUSY_SLOTS_DIVISOR: u32 = 4;
@@ -23,30 +23,32 @@
     now.since_ms(expected_at).max(MIN_OVERDUE_WAIT_MS)
 }
 
+fn arrival_line(engine: &PlannedEngine, task: &EngineTask, now: ClockTime) -> ArrivalLine {
+    let (wait_ms, begun) = match task.stage {
+        // The end of an overdue load is unknown. Gateways that were given a time sent requests to the engine again
+        // and again, which it refused.
+        TaskStage::Loading(until) if now > until => (overdue_wait_ms(until, now), false),
+        TaskStage::Loading(until) => (until.since_ms(now), task.tier != WeightTier::Store),
+        TaskStage::Send(_) | TaskStage::Sent(_) => (task.load_ms, false),
+    };
+    ArrivalLine { upstream: engine.entry.id.clone(), model: task.model.clone(), wait_ms, begun }
+}
+
 impl LoadPlanner {
     /// Models that are about to be loaded, with the time until they can serve. The end of a load from the weight store
     /// depends on the other loads there, so such a load has no end that requests can be timed by.
-    pub fn pending_loads(&self, services: &[ServiceRule], now: ClockTime) -> Vec<ArrivalLine> {
-        let mut lines = Vec::new();
-        for engine in &self.engines {
-            let Some(task) = &engine.task else { continue };
-            let rule = services.iter().find(|service| service.name == engine.entry.service);
-            let Some(model) =
-                rule.and_then(|rule| rule.engine.as_ref()).and_then(|rule| rule.model(&task.model))
-            else {
-                continue;
-            };
-            let (wait_ms, begun) = match task.stage {
-                // The end of an overdue load is unknown. Gateways that were given a time sent requests to the
-                // engine again and again, which it refused.
-                TaskStage::Loading(until) if now > until => (overdue_wait_ms(until, now), false),
-                TaskStage::Loading(until) => (until.since_ms(now), task.tier != WeightTier::Store),
-                TaskStage::Send(_) | TaskStage::Sent(_) => (load_ms(model, task.tier), false),
-            };
-            let upstream = engine.entry.id.clone();
-            lines.push(ArrivalLine { upstream, model: task.model.clone(), wait_ms, begun });
-        }
-        lines
+    pub fn pending_loads(&self, now: ClockTime) -> Vec<ArrivalLine> {
+        let line = |engine: &PlannedEngine| Some(arrival_line(engine, engine.task.as_ref()?, now));
+        self.engines.iter().filter_map(line).collect()
+    }
+
+    /// Engines that are about to load one model, like [`pending_loads`](Self::pending_loads).
+    pub fn pending_loads_of(&self, model: &ModelId, now: ClockTime) -> Vec<ArrivalLine> {
+        let line = |engine: &PlannedEngine| {
+            let task = engine.task.as_ref().filter(|task| task.model == *model)?;
+            Some(arrival_line(engine, task, now))
+        };
+        self.engines.iter().filter_map(line).collect()
     }
 
     /// True when the number of calls at an upstream is worth reporting to a large fleet: an upstream with
--- a/crates/cowslip-entry/src/model_answer.rs
+++ b/crates/cowslip-entry/src/model_answer.rs
@@ -2,8 +2,8 @@
 
 use cowslip_units::ClockTime;
 
-use crate::planned_engine::{EngineTask, MAX_CONFLICTS, TaskStage, load_ms};
-use crate::{EngineAction, EngineOrder, EngineRule, HeldModel, OrderAnswer, PlannedEngine};
+use crate::planned_engine::{EngineTask, MAX_CONFLICTS, TaskStage};
+use crate::{EngineAction, EngineOrder, HeldModel, OrderAnswer, PlannedEngine};
 
 /// First and longest backoff in ms before an order is sent again after a conflict.
 const CONFLICT_BACKOFF_MS: (u64, u64) = (25, 300);
@@ -16,11 +16,10 @@
 pub(crate) const IN_DOUBT_RETRY_MS: u64 = 250;
 
 /// Time in ms until the running change is complete.
-pub(crate) fn task_left_ms(task: &EngineTask, rule: &EngineRule, now: ClockTime) -> f64 {
-    let whole = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
+pub(crate) fn task_left_ms(task: &EngineTask, now: ClockTime) -> f64 {
     match task.stage {
         TaskStage::Loading(until) => until.since_ms(now) as f64,
-        TaskStage::Send(_) | TaskStage::Sent(_) => whole as f64,
+        TaskStage::Send(_) | TaskStage::Sent(_) => task.load_ms as f64,
     }
 }
 
@@ -29,7 +28,6 @@
     engine: &mut PlannedEngine,
     order: &EngineOrder,
     answer: OrderAnswer,
-    rule: &EngineRule,
     now: ClockTime,
 ) {
     let sent = matches!(&engine.task, Some(EngineTask { stage: TaskStage::Sent(action), .. }) if *action == order.action);
@@ -63,8 +61,7 @@
                     engine.query_at = Some(now);
                 }
                 _ => {
-                    let duration_ms = rule.model(&task.model).map_or(0, |model| load_ms(model, task.tier));
-                    task.stage = TaskStage::Loading(now.plus_ms(duration_ms));
+                    task.stage = TaskStage::Loading(now.plus_ms(task.load_ms));
                 }
             }
         }
--- a/crates/cowslip-entry/src/planned_engine.rs
+++ b/crates/cowslip-entry/src/planned_engine.rs
@@ -3,6 +3,7 @@
 use cowslip_units::{ClockTime, ModelId};
 use smol_str::SmolStr;
 
+use crate::copy_index::CopyIndex;
 use crate::model_answer::IN_DOUBT_RETRY_MS;
 use crate::{EngineAction, EngineRule, EngineStatus, HeldModel, LoadCause, ModelRule, UpstreamEntry};
 
@@ -48,6 +49,8 @@
     pub(crate) model: ModelId,
     pub(crate) tier: WeightTier,
     pub(crate) cause: LoadCause,
+    /// Time in ms that the load takes at full speed.
+    pub(crate) load_ms: u64,
     pub(crate) victims: Vec<ModelId>,
     pub(crate) stage: TaskStage,
     pub(crate) started_at: ClockTime,
@@ -87,6 +90,10 @@
     pub(crate) orders_from: ClockTime,
     /// True while it gets no orders, because it is leaving or its failure domain is evacuated.
     pub(crate) closed: bool,
+    /// Models that the planner's index lists for it, sorted.
+    indexed_copies: Vec<ModelId>,
+    /// True when its entry may list other copies than the index.
+    is_index_outdated: bool,
 }
 
 impl PlannedEngine {
@@ -109,6 +116,8 @@
             ordered_at: None,
             orders_from: ClockTime::ZERO,
             closed: false,
+            indexed_copies: Vec::new(),
+            is_index_outdated: true,
         }
     }
 
@@ -123,7 +132,8 @@
     pub(crate) fn update(&mut self, entry: &UpstreamEntry, now: ClockTime) {
         if entry.born != self.entry.born || entry.address != self.entry.address {
             let (ordered_at, orders_from) = (self.ordered_at, self.orders_from);
-            *self = Self { ordered_at, orders_from, ..Self::new(entry.clone(), now) };
+            let indexed_copies = std::mem::take(&mut self.indexed_copies);
+            *self = Self { ordered_at, orders_from, indexed_copies, ..Self::new(entry.clone(), now) };
             return;
         }
         self.entry.draining = entry.draining;
@@ -131,8 +141,12 @@
         if self.entry.in_memory != entry.in_memory {
             self.entry.in_memory.clone_from(&entry.in_memory);
             self.is_memory_known = true;
+            self.is_index_outdated = true;
+        }
+        if self.entry.on_disk != entry.on_disk {
+            self.entry.on_disk.clone_from(&entry.on_disk);
+            self.is_index_outdated = true;
         }
-        self.entry.on_disk.clone_from(&entry.on_disk);
         // An entry does not list the orders that it includes, and may be older than the last status. A list
         // that differs from the known one only leads to a query.
         let is_changed = entry.models != self.entry_models;
@@ -154,6 +168,24 @@
         }
     }
 
+    /// Brings its copies in the index up to date.
+    pub(crate) fn update_index(&mut self, index: &mut CopyIndex) {
+        if !std::mem::take(&mut self.is_index_outdated) {
+            return;
+        }
+        let mut copies: Vec<ModelId> =
+            self.entry.in_memory.iter().chain(&self.entry.on_disk).cloned().collect();
+        copies.sort_unstable();
+        copies.dedup();
+        index.replace(&self.entry.id, &self.indexed_copies, &copies);
+        self.indexed_copies = copies;
+    }
+
+    /// Removes its copies from the index.
+    pub(crate) fn leave_index(&self, index: &mut CopyIndex) {
+        index.replace(&self.entry.id, &self.indexed_copies, &[]);
+    }
+
     /// Ends the running change once its model is held.
     fn finish_load(&mut self, now: ClockTime) {
         let Some(model) = self.task.as_ref().map(|task| task.model.clone()) else { return };
--- a/crates/cowslip-entry/tests/entry/planner_cases.rs
+++ b/crates/cowslip-entry/tests/entry/planner_cases.rs
@@ -57,8 +57,7 @@
     }
 
     fn answer(&mut self, order: &EngineOrder, answer: OrderAnswer, millis: u64) {
-        let rule = self.services[0].engine.clone().expect("engine rule");
-        self.planner.answered(order, answer, &rule, at(millis));
+        self.planner.answered(order, answer, at(millis));
     }
 
     fn wait_for(&mut self, name: &str, waiting: u32, millis: u64) {
@@ -293,11 +292,11 @@
         "the victim is not announced"
     );
     fixture.answer(&unload, OrderAnswer::Started, 110);
-    let expected = fixture.planner.pending_loads(&fixture.services, at(120));
+    let expected = fixture.planner.pending_loads(at(120));
     assert!(!expected[0].begun);
     let load = fixture.orders(170).remove(0);
     fixture.answer(&load, OrderAnswer::Started, 180);
-    let coming = fixture.planner.pending_loads(&fixture.services, at(680));
+    let coming = fixture.planner.pending_loads(at(680));
     assert_eq!((coming[0].begun, coming[0].wait_ms, coming[0].upstream.as_str()), (true, 500, "e1"));
     assert_eq!(place_count(&fixture, "c", 680), 0);
     let status =
@@ -344,9 +343,8 @@
     entry.in_memory = vec![model("c"), model("d")];
     let mut fixture = PlannerFixture::new(vec![entry]);
     fixture.orders(0);
-    let wait_ms = |fixture: &PlannerFixture, millis: u64| {
-        fixture.planner.pending_loads(&fixture.services, at(millis))[0].wait_ms
-    };
+    let wait_ms =
+        |fixture: &PlannerFixture, millis: u64| fixture.planner.pending_loads(at(millis))[0].wait_ms;
     fixture.wait_for("c", 1, 2_000);
     let unload = fixture.orders(2_000).remove(0);
     assert_eq!(wait_ms(&fixture, 2_000), 500, "nothing has changed since the entry");
@@ -522,7 +520,7 @@
 #[test]
 fn an_overdue_load_is_not_announced_as_a_place() {
     let (fixture, done_ms) = loading();
-    let line = |millis: u64| fixture.planner.pending_loads(&fixture.services, at(millis))[0].clone();
+    let line = |millis: u64| fixture.planner.pending_loads(at(millis))[0].clone();
     assert!(line(done_ms - 100).begun, "a load from disk ends when it is expected");
     let overdue = line(done_ms + 3_000);
     assert!(!overdue.begun, "{overdue:?}");
@@ -538,7 +536,7 @@
     let load = fixture.orders(3_000).remove(0);
     assert_eq!(actions(std::slice::from_ref(&load)), ["e1 load c"]);
     fixture.answer(&load, OrderAnswer::Started, 3_010);
-    let lines = fixture.planner.pending_loads(&fixture.services, at(5_010));
+    let lines = fixture.planner.pending_loads(at(5_010));
     assert_eq!(lines.len(), 1);
     assert!(!lines[0].begun, "{lines:?}");
     assert_eq!(lines[0].wait_ms, 4_000);
--- a/crates/cowslip-entry/tests/entry/planner_runs.rs
+++ b/crates/cowslip-entry/tests/entry/planner_runs.rs
@@ -219,7 +219,7 @@
                     } else {
                         engine.accept(&order, &rule, millis, injected)
                     };
-                    planner.answered(&order, answer, &rule, now);
+                    planner.answered(&order, answer, now);
                 }
             }
         }
--- a/crates/cowslip-entry/tests/entry/rare_runs.rs
+++ b/crates/cowslip-entry/tests/entry/rare_runs.rs
@@ -256,7 +256,7 @@
             .map(|(_, order, answer)| (order, answer))
             .collect();
         for (order, answer) in due {
-            self.planner.answered(&order, answer, &self.rule, at(millis));
+            self.planner.answered(&order, answer, at(millis));
         }
         let due: Vec<String> =
             self.queries.extract_if(.., |(when, _)| *when <= millis).map(|(_, id)| id).collect();
@@ -316,7 +316,7 @@
                 running: running.collect(),
                 ..GatewayReport::default()
             };
-            let mut arrivals = self.planner.pending_loads(&self.services, now);
+            let mut arrivals = self.planner.pending_loads(now);
             arrivals.retain(|line| line.model == wanted);
             let places = self.planner.places(&format!("g{}", waiting.gateway), &wanted, None, now);
             self.planner.record_report(report, now);
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -119,12 +119,12 @@
             true => UpdateBatch { deferred: true, ..UpdateBatch::default() },
             false => self.updates.updates_since(same_term, report.marks),
         };
-        let has_waiting =
-            |model: &ModelId| report.demand.iter().any(|line| line.model == *model && line.waiting > 0);
-        let waiting = report.demand.iter().any(|line| line.waiting > 0);
-        let arrivals = if waiting { self.planner.pending_loads(services, now) } else { Vec::new() };
-        let arrivals = arrivals.into_iter().filter(|line| has_waiting(&line.model)).collect();
         let lines = report.demand.iter().filter(|line| line.waiting > 0);
+        let mut awaited: Vec<&ModelId> = lines.clone().map(|line| &line.model).collect();
+        awaited.sort_unstable();
+        awaited.dedup();
+        let arrivals =
+            awaited.into_iter().flat_map(|model| self.planner.pending_loads_of(model, now)).collect();
         let places = lines
             .flat_map(|line| self.planner.places(&gateway, &line.model, line.adapter.as_ref(), now))
             .collect();
--- a/crates/cowslip-gateway/src/plan_task.rs
+++ b/crates/cowslip-gateway/src/plan_task.rs
@@ -119,12 +119,8 @@
             gateway.metrics.orders.get_or_create(&labels).inc();
             info!(gateway.logger, "order"; "upstream" => %order.upstream, "action" => %order.action,
                 "expected_orders" => order.expected_orders, "fence" => fence.get(), "answer" => answer_name(answer));
-            let mut state = gateway.lock();
-            let config = state.view.config().cloned();
-            let service = state.upstreams.get(&order.upstream).map(|known| known.entry.service.clone());
-            let rule = service.and_then(|service| config.as_ref()?.service(&service)?.engine.clone());
-            if let (Some(lead), Some(rule)) = (state.lead.as_mut(), rule) {
-                lead.planner.answered(&order, answer, &rule, now);
+            if let Some(lead) = gateway.lock().lead.as_mut() {
+                lead.planner.answered(&order, answer, now);
             }
         }
     }
