gateway: a leader's answers are short and cheap to make

Cause: an answer to a full report had the whole entry of each engine whose models had changed since, and of each engine of which only the copies had changed, which no gateway needs; 295 gateways got them all. An answer to a report with a waiting request listed all loads and looked at all engines for each line; each report applied the limits of all teams anew; the peers' addresses were in each brief answer.

Change: a line with the names of the models where nothing else of an entry changed (gateways of the build before get whole entries); changes of copies are not sent; loads and holders are looked up by model, calls by upstream; limits are applied once for each configuration; brief answers have no peers.

Tests: a_change_of_copies_causes_no_update and changed_models_reach_gateways do not compile without the change; the check of the first is the one of a_heartbeat_causes_no_update.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{CrashLogCopy, LeaderHandover, UpstreamEntry, UpstreamStart, UsageAnswer, UsageReport};
+use crate::{
+    CrashLogCopy, LeaderHandover, ModelsLine, UpstreamEntry, UpstreamStart, UsageAnswer, UsageReport,
+};
 
 /// Versions and staleness of a gateway's view of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -182,6 +184,9 @@
     /// Cursor in the leader's pace lines.
     #[serde(default)]
     pub pace_cursor: PaceCursor,
+    /// True when the gateway reads [`LeaderAnswer::models`]; without it, the answer has whole entries.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub reads_models: bool,
 }
 
 /// The leader's grant of one team's tokens.
@@ -293,6 +298,9 @@
     pub marks: UpdateCursors,
     /// Upstreams that were added, changed or removed (`None`).
     pub upstreams: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    /// Upstreams of which only the models changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<ModelsLine>,
     /// Adapters of each upstream where they changed; `None` for a removed upstream.
     pub adapters: Vec<(UpstreamId, Option<Vec<AdapterName>>)>,
     /// Gateways that joined (true) or left the fleet.
--- a/crates/cowslip-entry/src/known_upstream.rs
+++ b/crates/cowslip-entry/src/known_upstream.rs
@@ -5,7 +5,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    AdapterName, AnswerCounts, ModelNeed, SlowStartGate, UpstreamEntry, UpstreamLoad, UpstreamWork, text_hash,
+    AdapterName, AnswerCounts, HeldModel, ModelNeed, SlowStartGate, UpstreamEntry, UpstreamLoad,
+    UpstreamWork, text_hash,
 };
 
 /// Weight of the newest outcome in the moving averages of failures and latency.
@@ -126,6 +127,19 @@
         }
     }
 
+    /// Applies newer models of an otherwise unchanged entry. Older ones are ignored as in [`update`](Self::update).
+    pub(crate) fn update_models(&mut self, models: Vec<HeldModel>, version: u64) {
+        if version < self.seen_version {
+            return;
+        }
+        self.seen_version = version;
+        if models != self.entry.models {
+            self.missing.clear();
+            self.entry.models = models;
+            self.entry.version = version;
+        }
+    }
+
     /// Calls of the whole fleet in flight.
     pub fn total(&self) -> u32 {
         self.running.saturating_add(self.other_calls)
--- a/crates/cowslip-entry/src/leader_updates.rs
+++ b/crates/cowslip-entry/src/leader_updates.rs
@@ -7,9 +7,10 @@
 use cowslip_units::{ClockTime, UpstreamId};
 use smol_str::SmolStr;
 
+use crate::upstream_log::UpstreamLog;
 use crate::{
-    AdapterName, ChangeLog, PlannedEngine, UpdateCursors, UpstreamEntry, UpstreamRegistry, ViewFreshness,
-    adapters_of,
+    AdapterName, ChangeLog, ModelsLine, PlannedEngine, UpdateCursors, UpstreamEntry, UpstreamRegistry,
+    ViewFreshness, adapters_of,
 };
 
 /// Entries a second that are sent in full snapshots. A new leader that sent snapshots to a whole large fleet
@@ -34,6 +35,8 @@
     pub marks: UpdateCursors,
     /// Upstreams that were added, changed or removed (`None`).
     pub upstreams: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    /// Upstreams of which only the models changed.
+    pub models: Vec<ModelsLine>,
     /// Adapters of each upstream where they changed; `None` for a removed upstream.
     pub adapters: Vec<(UpstreamId, Option<Vec<AdapterName>>)>,
     /// Gateways that joined (true) or left the fleet.
@@ -43,7 +46,7 @@
 /// Change logs of one leader, from which the updates for each gateway are taken.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LeaderUpdates {
-    upstreams: ChangeLog<UpstreamId, UpstreamEntry>,
+    upstreams: UpstreamLog,
     adapters: ChangeLog<UpstreamId, Vec<AdapterName>>,
     members: ChangeLog<SmolStr, ()>,
     /// Gateways that may still get a full snapshot before the next plan.
@@ -73,7 +76,7 @@
         self.snapshots_left = self.snapshot_budget(registry.all().len() as u64, now);
         self.recorded_at = Some(now);
         self.members.sync(members.into_iter().map(|name| (name, ())));
-        self.upstreams.sync(registry.published_entries().map(|entry| (entry.id.clone(), entry)));
+        self.upstreams.sync(registry);
         self.adapters.sync(engines.iter().map(|engine| (engine.entry.id.clone(), adapters_of(engine, now))));
     }
 
@@ -90,8 +93,13 @@
     }
 
     /// Updates for a gateway: a delta from `marks` when it already has updates of this leader
-    /// (`has_updates`), a full snapshot otherwise.
-    pub fn updates_since(&mut self, has_updates: bool, marks: UpdateCursors) -> UpdateBatch {
+    /// (`has_updates`), a full snapshot otherwise. `reads_lines`: the gateway reads lines about models.
+    pub fn updates_since(
+        &mut self,
+        has_updates: bool,
+        reads_lines: bool,
+        marks: UpdateCursors,
+    ) -> UpdateBatch {
         let newest = UpdateCursors {
             upstreams: self.upstreams.cursor(),
             adapters: self.adapters.cursor(),
@@ -105,11 +113,13 @@
         }
         let marks = if has_updates { marks } else { UpdateCursors::default() };
         let members = self.members.since(marks.members).into_iter();
+        let changes = self.upstreams.since(marks.upstreams, reads_lines);
         UpdateBatch {
             deferred: false,
             fresh: !has_updates,
             marks: newest,
-            upstreams: self.upstreams.since(marks.upstreams),
+            upstreams: changes.entries,
+            models: changes.models,
             adapters: self.adapters.since(marks.adapters),
             members: members.map(|(name, entry)| (name, entry.is_some())).collect(),
         }
@@ -117,12 +127,7 @@
 
     /// Upstreams that are leaving or have left, unless updates up to `marks` include that.
     pub fn left(&self, marks: UpdateCursors) -> Vec<UpstreamId> {
-        let is_leaving = |entry: &Option<UpstreamEntry>| entry.as_ref().is_none_or(|entry| entry.draining);
-        self.upstreams
-            .newer(marks.upstreams)
-            .filter(|(_, entry)| is_leaving(entry))
-            .map(|(id, _)| id.clone())
-            .collect()
+        self.upstreams.left_since(marks.upstreams)
     }
 
     /// `view` with the version and age of the recorded upstreams, which may be older than the leader's own
--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -69,6 +69,9 @@
     demand: DemandTable,
     /// Slots for loads from the weight store.
     slots: StoreSlots,
+    /// Each model held by an engine, with the engine's index; sorted. What engines have unloaded since the last step is
+    /// listed too.
+    holders: Vec<(ModelId, usize)>,
     /// Number of engines that hold or are about to hold each model of the current service; sorted.
     replicas: Vec<(ModelId, usize)>,
     /// Concurrent calls of a model that one engine of the current service should run.
@@ -99,6 +102,7 @@
             least_busy_ms: f64::INFINITY,
             demand: DemandTable::new(now),
             slots: StoreSlots::new(limit, now),
+            holders: Vec::new(),
             replicas: Vec::new(),
             calls_per_replica: CALLS_PER_REPLICA,
             is_load_aware: false,
@@ -194,7 +198,9 @@
             Some(status) => engine.status(status, now),
             None => engine.status_unanswered(now),
         }
-        if engine.task.is_none() {
+        let is_idle = engine.task.is_none();
+        self.index_holder(at);
+        if is_idle {
             self.end_measurement(at, now);
         }
     }
@@ -252,6 +258,7 @@
         self.delayed.clear();
         let mut steps = Vec::new();
         self.query_engines(now, &mut steps);
+        self.index_holders();
         if now < self.orders_from {
             return steps;
         }
@@ -313,17 +320,40 @@
         }
     }
 
+    /// Lists the engines that hold each model.
+    fn index_holders(&mut self) {
+        self.holders.clear();
+        for (at, engine) in self.engines.iter().enumerate() {
+            let held = engine.entry.models.iter().map(|held| (held.name.clone(), at));
+            self.holders.extend(held);
+        }
+        self.holders.sort_unstable();
+    }
+
+    /// Adds the models of one engine to that list.
+    fn index_holder(&mut self, at: usize) {
+        let Some(engine) = self.engines.get(at) else { return };
+        for held in &engine.entry.models {
+            let line = (held.name.clone(), at);
+            if let Err(place) = self.holders.binary_search(&line) {
+                self.holders.insert(place, line);
+            }
+        }
+    }
+
     /// Counts the engines that hold or are about to hold each model.
     fn count_replicas(&mut self, service: &ServiceId) {
-        let mut models: Vec<ModelId> = Vec::new();
-        for engine in self.engines.iter().filter(|engine| engine.entry.service == *service && !engine.closed)
-        {
-            let task = engine.task.as_ref();
-            let is_leaving = |model: &ModelId| task.is_some_and(|task| task.victims.contains(model));
-            let held = engine.entry.models.iter().map(|held| &held.name);
-            models.extend(held.filter(|model| !is_leaving(model)).cloned());
-            models
-                .extend(task.filter(|task| !engine.entry.holds(&task.model)).map(|task| task.model.clone()));
+        let is_counted = |engine: &PlannedEngine| engine.entry.service == *service && !engine.closed;
+        let stays = |engine: &PlannedEngine, model: &ModelId| {
+            !engine.task.as_ref().is_some_and(|task| task.victims.contains(model))
+        };
+        let held = self.holders.iter().filter(|(model, at)| {
+            self.engines.get(*at).is_some_and(|engine| is_counted(engine) && stays(engine, model))
+        });
+        let mut models: Vec<ModelId> = held.map(|(model, _)| model.clone()).collect();
+        for engine in self.engines.iter().filter(|engine| is_counted(engine)) {
+            let task = engine.task.as_ref().filter(|task| !engine.entry.holds(&task.model));
+            models.extend(task.map(|task| task.model.clone()));
         }
         models.sort();
         self.replicas.clear();
--- a/crates/cowslip-entry/src/load_planner/plan_updates.rs
+++ b/crates/cowslip-entry/src/load_planner/plan_updates.rs
@@ -69,8 +69,8 @@
         now: ClockTime,
     ) -> Vec<PlaceLine> {
         let keeps = |engine: &&PlannedEngine| {
-            !engine.closed
-                && engine.entry.holds(model)
+            engine.entry.holds(model)
+                && !engine.closed
                 && !engine.task.as_ref().is_some_and(|task| task.victims.contains(model))
                 && adapter.is_none_or(|adapter| has_arrived(engine, model, adapter, now))
         };
@@ -83,15 +83,20 @@
                 demand.calls_at(id).saturating_sub(demand.calls_of(gateway, id))
             },
         };
-        self.engines.iter().filter(keeps).take(MAX_PLACES).map(line).collect()
+        let first = self.holders.partition_point(|(held, _)| held < model);
+        let holders = self.holders.get(first..).unwrap_or_default().iter();
+        let holders = holders.take_while(|(held, _)| held == model);
+        let engines = holders.filter_map(|(_, at)| self.engines.get(*at));
+        engines.filter(keeps).take(MAX_PLACES).map(line).collect()
     }
 
     /// Models that are about to be unloaded, by engine.
     pub fn leaving(&self) -> Vec<(UpstreamId, ModelId)> {
-        let of_engine = |engine: &PlannedEngine| -> Vec<(UpstreamId, ModelId)> {
+        let mut lines = Vec::new();
+        for engine in &self.engines {
             let victims = engine.task.iter().flat_map(|task| &task.victims);
-            victims.map(|victim| (engine.entry.id.clone(), victim.clone())).collect()
-        };
-        self.engines.iter().flat_map(of_engine).collect()
+            lines.extend(victims.map(|victim| (engine.entry.id.clone(), victim.clone())));
+        }
+        lines
     }
 }
--- a/crates/cowslip-entry/src/model_demand.rs
+++ b/crates/cowslip-entry/src/model_demand.rs
@@ -66,7 +66,9 @@
     reports: Vec<ReceivedReport>,
     /// Calls in flight by upstream, model and adapter, summed over fresh reports; sorted.
     running: Vec<RunningLine>,
-    /// The same, summed over the last reports of silent gateways.
+    /// Calls in flight by upstream, summed over fresh reports; sorted.
+    calls: Vec<(UpstreamId, u32)>,
+    /// Calls in flight by upstream, model and adapter, summed over the last reports of silent gateways; sorted.
     silent_running: Vec<RunningLine>,
     /// Tokens of the calls in flight, by upstream, sorted.
     tokens: Vec<(UpstreamId, u64)>,
@@ -186,6 +188,7 @@
             }
         }
         self.running = sum_running(&fresh);
+        self.calls = sum_calls(&self.running);
         self.tokens = sum_tokens(&fresh);
         self.silent_running = sum_running(&stale);
         self.stale_ms = stale_ms;
@@ -241,9 +244,8 @@
 
     /// Calls of the fleet in flight at an upstream.
     pub fn calls_at(&self, upstream: &UpstreamId) -> u32 {
-        let first = self.running.partition_point(|line| line.upstream < *upstream);
-        let lines = self.running.get(first..).unwrap_or_default().iter();
-        lines.take_while(|line| line.upstream == *upstream).map(|line| line.count).sum()
+        let found = self.calls.binary_search_by(|(known, _)| known.cmp(upstream)).ok();
+        found.and_then(|at| self.calls.get(at)).map_or(0, |(_, count)| *count)
     }
 
     /// Calls in flight at an upstream according to a gateway's last full report.
@@ -266,15 +268,14 @@
     }
 
     /// Calls of the fleet in flight at each upstream without those in `own`, as of the last
-    /// [`refresh`](Self::refresh).
-    pub fn running_elsewhere(&self, own: &[RunningLine]) -> Vec<(UpstreamId, u32)> {
-        let mut lines: Vec<(UpstreamId, u32)> = Vec::new();
-        for line in &self.running {
-            match lines.last_mut() {
-                Some((upstream, count)) if *upstream == line.upstream => *count += line.count,
-                _ => lines.push((line.upstream.clone(), line.count)),
-            }
-        }
+    /// [`refresh`](Self::refresh), where `is_reported` holds for the calls with those in `own`.
+    pub fn running_elsewhere(
+        &self,
+        own: &[RunningLine],
+        is_reported: impl Fn(&UpstreamId, u32) -> bool,
+    ) -> Vec<(UpstreamId, u32)> {
+        let reported = self.calls.iter().filter(|(upstream, count)| is_reported(upstream, *count));
+        let mut lines: Vec<(UpstreamId, u32)> = reported.cloned().collect();
         for line in own {
             if let Ok(at) = lines.binary_search_by(|(upstream, _)| upstream.cmp(&line.upstream)) {
                 lines[at].1 = lines[at].1.saturating_sub(line.count);
@@ -300,6 +301,18 @@
     tokens
 }
 
+/// Sums sorted lines by upstream.
+fn sum_calls(lines: &[RunningLine]) -> Vec<(UpstreamId, u32)> {
+    let mut calls: Vec<(UpstreamId, u32)> = Vec::new();
+    for line in lines {
+        match calls.last_mut() {
+            Some((upstream, count)) if *upstream == line.upstream => *count += line.count,
+            _ => calls.push((line.upstream.clone(), line.count)),
+        }
+    }
+    calls
+}
+
 /// Sums the calls of sorted lines for a model, or an adapter of it, at an upstream.
 fn count_at(lines: &[RunningLine], upstream: &UpstreamId, model: &ModelId, adapter: Option<&SmolStr>) -> u32 {
     let before = |line: &RunningLine| (&line.upstream, line.model.as_ref()) < (upstream, Some(model));
--- a/crates/cowslip-entry/src/upstream_registry.rs
+++ b/crates/cowslip-entry/src/upstream_registry.rs
@@ -3,8 +3,9 @@
 use cowslip_units::{ClockTime, DomainId, ModelId, ServiceId, UpstreamId};
 
 use crate::{
-    AdapterName, AnswerNotice, ArrivalLine, FirstEventModel, KnownUpstream, ModelNeed, NoticeTable, PaceLine,
-    PlaceLine, PlaceSenders, RequestNeed, ServiceRule, UpstreamEntry, UpstreamStart, WorkLine,
+    AdapterName, AnswerNotice, ArrivalLine, FirstEventModel, KnownUpstream, ModelNames, ModelNeed,
+    ModelsLine, NoticeTable, PaceLine, PlaceLine, PlaceSenders, RequestNeed, ServiceRule, UpstreamEntry,
+    UpstreamStart, WorkLine,
 };
 
 /// Time in ms after a store outage for which entries that expired in it stay in use.
@@ -22,6 +23,8 @@
 pub struct UpstreamUpdate {
     /// Upstreams that were added, changed or removed (`None`).
     pub entries: Vec<(UpstreamId, Option<UpstreamEntry>)>,
+    /// Upstreams of which only the models changed.
+    pub models: Vec<ModelsLine>,
     /// Store version of the sending gateway's view.
     pub version: u64,
     /// True for a full snapshot, false for a delta.
@@ -101,15 +104,19 @@
 
     /// True when an upstream is leaving or its failure domain is evacuated.
     pub fn is_closed(&self, entry: &UpstreamEntry, evacuated: &[DomainId]) -> bool {
-        entry.draining || self.notices.is_leaving(entry) || evacuated.contains(&entry.domain)
+        self.is_leaving(entry) || evacuated.contains(&entry.domain)
+    }
+
+    /// True when an upstream is leaving, by its entry or by its own word to this gateway.
+    pub(crate) fn is_leaving(&self, entry: &UpstreamEntry) -> bool {
+        entry.draining || self.notices.is_leaving(entry)
     }
 
     /// The entries as they are sent to other gateways.
     pub fn published_entries(&self) -> impl Iterator<Item = UpstreamEntry> {
         self.upstreams.iter().map(|known| {
-            let entry = known.entry.without_copies();
-            let draining = entry.draining || self.notices.is_leaving(&entry);
-            UpstreamEntry { draining, ..entry }
+            let draining = self.is_leaving(&known.entry);
+            UpstreamEntry { draining, ..known.entry.without_copies() }
         })
     }
 
@@ -167,7 +174,7 @@
     /// Applies an update of another gateway. Entries read here at a later store version are kept;
     /// `own_version` is the one up to which this registry is complete.
     pub fn apply_update(&mut self, update: UpstreamUpdate, own_version: u64, now: ClockTime) {
-        let UpstreamUpdate { entries, version, fresh } = update;
+        let UpstreamUpdate { entries, models, version, fresh } = update;
         let newer = |known: &KnownUpstream| known.seen_version > version;
         let mut removed: Vec<UpstreamId> = Vec::new();
         if fresh {
@@ -188,6 +195,12 @@
         for id in removed {
             self.remove(&id, false, now);
         }
+        for line in models {
+            if let Some(known) = self.get_mut(&line.upstream) {
+                let models = line.models.into_iter().map(|ModelNames(held)| held).collect();
+                known.update_models(models, line.version);
+            }
+        }
     }
 
     /// Upstreams whose entries disappeared during a store outage, with the time in ms since.
--- a/crates/cowslip-entry/tests/entry/demand_cases.rs
+++ b/crates/cowslip-entry/tests/entry/demand_cases.rs
@@ -37,7 +37,7 @@
     demand.refresh(at(report_interval_ms(size) + 200));
     let count = size as u32;
     assert_eq!(demand.running_at(&upstream("e1"), &model("a"), None), count);
-    assert_eq!(demand.running_elsewhere(&[]), [(upstream("e1"), count)]);
+    assert_eq!(demand.running_elsewhere(&[], |_, _| true), [(upstream("e1"), count)]);
     assert_eq!(demand.get(&model("b")).map(|demand| demand.waiting), Some(count));
 }
 
@@ -50,7 +50,7 @@
     let mut demand = fleet(size);
     demand.refresh(at(10_000));
     assert_eq!(demand.running_at(&upstream("e1"), &model("a"), None), size as u32);
-    assert!(demand.running_elsewhere(&[]).is_empty());
+    assert!(demand.running_elsewhere(&[], |_, _| true).is_empty());
     assert_eq!(demand.get(&model("b")).map(|demand| demand.waiting), Some(0));
     demand.refresh(at(30_000));
     assert_eq!(demand.running_at(&upstream("e1"), &model("a"), None), 0);
--- a/crates/cowslip-entry/tests/entry/notice_cases.rs
+++ b/crates/cowslip-entry/tests/entry/notice_cases.rs
@@ -93,12 +93,16 @@
     let mut other = registry.clone();
     let mut updates = LeaderUpdates::new();
     updates.record_state(Vec::new(), &registry, &[], at(0));
-    let marks = updates.updates_since(false, UpdateCursors::default()).marks;
+    let marks = updates.updates_since(false, true, UpdateCursors::default()).marks;
     registry.record_notice(&start(1), LEAVING, at(100));
     updates.record_state(Vec::new(), &registry, &[], at(100));
-    let batch = updates.updates_since(true, marks);
+    let batch = updates.updates_since(true, true, marks);
     assert_eq!(updates.left(marks), [upstream("e1")]);
-    other.apply_update(UpstreamUpdate { entries: batch.upstreams, version: 5, fresh: false }, 5, at(200));
+    other.apply_update(
+        UpstreamUpdate { entries: batch.upstreams, models: batch.models, version: 5, fresh: false },
+        5,
+        at(200),
+    );
     assert!(!other.can_accept(&upstream("e1"), &[], at(200)));
 }
 
@@ -168,7 +172,7 @@
             5 => {
                 let copy = vec![(upstream("e1"), Some(entry_of(born, version)))];
                 registry.apply_update(
-                    UpstreamUpdate { entries: copy, version, fresh: true },
+                    UpstreamUpdate { entries: copy, models: Vec::new(), version, fresh: true },
                     version,
                     at(now),
                 );
--- a/crates/cowslip-entry/tests/entry/registry_cases.rs
+++ b/crates/cowslip-entry/tests/entry/registry_cases.rs
@@ -153,7 +153,11 @@
     let mut newer = entry("e2", "s", &["a"]);
     newer.version = 9;
     started.put(newer, at(1_900));
-    started.apply_update(UpstreamUpdate { entries, version: 5, fresh: true }, 0, at(2_000));
+    started.apply_update(
+        UpstreamUpdate { entries, models: Vec::new(), version: 5, fresh: true },
+        0,
+        at(2_000),
+    );
     started.apply_held(&sender.held(at(2_000)), 5, at(2_000));
     assert!(started.expire(None, at(1_000 + EXPIRY_HOLD_MS - 1)).is_empty());
     assert_eq!(started.expire(None, at(1_000 + EXPIRY_HOLD_MS)), vec![upstream("e1")]);
--- a/crates/cowslip-entry/tests/entry/update_cases.rs
+++ b/crates/cowslip-entry/tests/entry/update_cases.rs
@@ -1,13 +1,13 @@
 //! Updates about upstreams that a leader sends, and how a gateway applies them.
 
 use cowslip_entry::{
-    LeaderUpdates, LeaseRenewal, UpdateBatch, UpdateCursors, UpstreamEntry, UpstreamRegistry, UpstreamUpdate,
-    ViewFreshness, last_renewal,
+    HeldModel, LeaderUpdates, LeaseRenewal, ModelsLine, UpdateBatch, UpdateCursors, UpstreamEntry,
+    UpstreamRegistry, UpstreamUpdate, ViewFreshness, last_renewal,
 };
 use rstest::rstest;
 use smol_str::SmolStr;
 
-use crate::fixtures::{at, entry, upstream};
+use crate::fixtures::{at, entry, model, upstream};
 
 const IDS: [&str; 2] = ["e1", "e2"];
 
@@ -31,7 +31,7 @@
 }
 
 fn update_of(batch: UpdateBatch, version: u64) -> UpstreamUpdate {
-    UpstreamUpdate { entries: batch.upstreams, version, fresh: batch.fresh }
+    UpstreamUpdate { entries: batch.upstreams, models: batch.models, version, fresh: batch.fresh }
 }
 
 fn names(registry: &UpstreamRegistry) -> Vec<(String, bool)> {
@@ -42,7 +42,7 @@
 /// upstreams.
 #[test]
 fn a_leader_without_a_recording_defers_updates() {
-    let batch = LeaderUpdates::new().updates_since(false, UpdateCursors::default());
+    let batch = LeaderUpdates::new().updates_since(false, true, UpdateCursors::default());
     assert!(batch.deferred && !batch.fresh);
 }
 
@@ -66,9 +66,9 @@
 fn snapshots_between_two_plans_are_limited() {
     let mut updates = recorded(&registry(&[versioned("e1", 3, false)]), 7, 0);
     let snapshots =
-        (0..5).filter(|_| !updates.updates_since(false, UpdateCursors::default()).deferred).count();
+        (0..5).filter(|_| !updates.updates_since(false, true, UpdateCursors::default()).deferred).count();
     assert_eq!(snapshots, 2);
-    assert!(!updates.updates_since(true, UpdateCursors::default()).deferred);
+    assert!(!updates.updates_since(true, true, UpdateCursors::default()).deferred);
 }
 
 /// Guards against a new leader of a large fleet that plans rarely and sends few snapshots each time: for 15
@@ -86,7 +86,7 @@
         now += plan_ms;
         updates.record_state(vec![SmolStr::from("g1")], &registry, &[], at(now));
         served += (0..295 - served)
-            .filter(|_| !updates.updates_since(false, UpdateCursors::default()).deferred)
+            .filter(|_| !updates.updates_since(false, true, UpdateCursors::default()).deferred)
             .count();
     }
     assert!(now <= 4_000, "{now} ms");
@@ -102,7 +102,7 @@
 fn older_updates_undo_nothing(#[case] own: &[UpstreamEntry], #[case] expected: &[(&str, bool)]) {
     let mut leader = recorded(&registry(&[versioned("e1", 3, false), versioned("e2", 2, false)]), 5, 0);
     let mut own = registry(own);
-    own.apply_update(update_of(leader.updates_since(false, UpdateCursors::default()), 5), 10, at(100));
+    own.apply_update(update_of(leader.updates_since(false, true, UpdateCursors::default()), 5), 10, at(100));
     let expected: Vec<(String, bool)> =
         expected.iter().map(|(name, draining)| ((*name).to_owned(), *draining)).collect();
     assert_eq!(names(&own), expected);
@@ -113,7 +113,7 @@
 fn newer_updates_are_applied() {
     let mut leader = recorded(&registry(&[versioned("e1", 12, true), versioned("e3", 11, false)]), 13, 0);
     let mut own = registry(&IDS.map(|id| versioned(id, 2, false)));
-    own.apply_update(update_of(leader.updates_since(false, UpdateCursors::default()), 13), 10, at(100));
+    own.apply_update(update_of(leader.updates_since(false, true, UpdateCursors::default()), 13), 10, at(100));
     assert_eq!(names(&own), [("e1".to_owned(), true), ("e3".to_owned(), false)]);
 }
 
@@ -123,10 +123,10 @@
 #[case::returned_since(20, 2)]
 fn a_removal_is_applied_unless_a_later_entry_is_known(#[case] version: u64, #[case] left: usize) {
     let mut leader = recorded(&registry(&IDS.map(|id| versioned(id, 2, false))), 5, 0);
-    let marks = leader.updates_since(false, UpdateCursors::default()).marks;
+    let marks = leader.updates_since(false, true, UpdateCursors::default()).marks;
     leader.record_state(Vec::new(), &registry(&[versioned("e1", 2, false)]), &[], at(50));
     let mut own = registry(&[versioned("e1", 2, false), versioned("e2", version, false)]);
-    own.apply_update(update_of(leader.updates_since(true, marks), 9), 5, at(100));
+    own.apply_update(update_of(leader.updates_since(true, true, marks), 9), 5, at(100));
     assert_eq!(own.all().len(), left);
 }
 
@@ -136,14 +136,63 @@
 fn a_heartbeat_causes_no_update() {
     let mut upstreams = registry(&[versioned("e1", 3, false)]);
     let mut leader = recorded(&upstreams, 3, 0);
-    let marks = leader.updates_since(false, UpdateCursors::default()).marks;
+    let marks = leader.updates_since(false, true, UpdateCursors::default()).marks;
     upstreams.put(versioned("e1", 8, false), at(500));
     leader.record_state(Vec::new(), &upstreams, &[], at(500));
-    assert!(leader.updates_since(true, marks).upstreams.is_empty());
+    assert!(leader.updates_since(true, true, marks).upstreams.is_empty());
     let known = upstreams.get(&upstream("e1")).expect("a known upstream");
     assert_eq!((known.entry.version, known.seen_version), (3, 8));
 }
 
+/// Guards against updates to the whole fleet for each change of the weights that an engine has a copy of, which only the
+/// leader needs.
+#[test]
+fn a_change_of_copies_causes_no_update() {
+    let mut upstreams = registry(&[versioned("e1", 3, false)]);
+    let mut leader = recorded(&upstreams, 3, 0);
+    let marks = leader.updates_since(false, true, UpdateCursors::default()).marks;
+    let changed = UpstreamEntry { in_memory: vec![model("b")], ..versioned("e1", 8, false) };
+    upstreams.put(changed, at(500));
+    leader.record_state(Vec::new(), &upstreams, &[], at(500));
+    let batch = leader.updates_since(true, true, marks);
+    assert!(batch.upstreams.is_empty() && batch.models.is_empty(), "{batch:?}");
+}
+
+/// Guards against whole entries for each change of an engine's models: they were most of what a leader of 295 gateways
+/// wrote. Gateways that do not read the short lines get whole entries.
+#[rstest]
+#[case::short(true)]
+#[case::whole(false)]
+fn changed_models_reach_gateways(#[case] reads_lines: bool) {
+    let mut upstreams = registry(&[versioned("e1", 3, false), versioned("e2", 4, false)]);
+    let mut leader = recorded(&upstreams, 4, 0);
+    let first = leader.updates_since(false, reads_lines, UpdateCursors::default());
+    let marks = first.marks;
+    let mut own = UpstreamRegistry::new();
+    own.apply_update(update_of(first, 4), 0, at(10));
+    let mut changed = versioned("e1", 8, false);
+    changed.models = vec![HeldModel { name: model("b"), adapters: vec!["x".into()] }];
+    upstreams.put(changed.clone(), at(500));
+    leader.record_state(Vec::new(), &upstreams, &[], at(500));
+    let batch = leader.updates_since(true, reads_lines, marks);
+    assert_eq!((batch.upstreams.is_empty(), batch.models.len()), (reads_lines, usize::from(reads_lines)));
+    let text = serde_json::to_string(&batch.models).expect("text");
+    assert!(!reads_lines || text == r#"[{"u":"e1","v":8,"m":[["b","x"]]}]"#, "{text}");
+    let models = serde_json::from_str(&text).expect("lines");
+    own.apply_update(UpstreamUpdate { models, ..update_of(batch, 8) }, 4, at(600));
+    assert_eq!(own.get(&upstream("e1")).expect("a known upstream").entry, changed.without_copies());
+}
+
+/// Guards against a line of an older leader's view that undoes models read since.
+#[test]
+fn older_models_undo_nothing() {
+    let mut own = registry(&[versioned("e1", 9, false)]);
+    let line = ModelsLine { upstream: upstream("e1"), version: 8, models: Vec::new() };
+    let update = UpstreamUpdate { models: vec![line], version: 8, ..UpstreamUpdate::default() };
+    own.apply_update(update, 9, at(100));
+    assert!(own.get(&upstream("e1")).expect("a known upstream").entry.holds(&model("a")));
+}
+
 /// Guards against an answer without a lease that makes a candidate drop the last renewal: the fleet had no
 /// leader for 1.5 s longer, and a weak gateway took over.
 #[rstest]
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -157,6 +157,8 @@
     pub delayed_loads: Family<CauseLabels, Gauge>,
     /// Longest wait in seconds of a model's requests as its load began, by the place of the weights.
     pub load_wait_s: Family<TierLabels, Histogram>,
+    /// Reports that this gateway has answered as leader, by kind.
+    pub report_answers: Family<OutcomeLabels, Counter>,
     /// Processor time in seconds of one plan.
     pub plan_s: Histogram,
     /// Processor time in seconds of the answer to one report, without its transport.
@@ -211,6 +213,7 @@
             store_loads: Family::default(),
             delayed_loads: Family::default(),
             load_wait_s: Family::new_with_constructor(times),
+            report_answers: Family::default(),
             plan_s: processor_times(),
             answer_s: processor_times(),
             processor_s: Gauge::default(),
@@ -307,6 +310,7 @@
             "Longest wait for a load until it began, by place of the weights",
             self.load_wait_s.clone(),
         );
+        registry.register("report_answers", "Reports answered as leader", self.report_answers.clone());
         registry.register("plan_seconds", "Processor time of a plan", self.plan_s.clone());
         registry.register(
             "report_answer_seconds",
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -6,8 +6,8 @@
 
 use cowslip_entry::{
     AnswerNotice, CrashCursor, CrashLogCopy, GatewayReport, LeaderAnswer, LeaseRenewal, StandaloneQuota,
-    TokenGrantLine, ViewCopy, candidate_interval_ms, last_renewal, report_interval_ms, silent_after_ms,
-    urgent_interval_ms,
+    TokenGrantLine, UpstreamUpdate, ViewCopy, candidate_interval_ms, last_renewal, report_interval_ms,
+    silent_after_ms, urgent_interval_ms,
 };
 use cowslip_rpc::{GatewayApiClient, GatewayApiServer};
 use cowslip_units::{ClockTime, TeamId};
@@ -21,7 +21,7 @@
 use crate::gateway_state::{Gateway, GatewayState};
 use crate::lease_task::{SMALL_FLEET, accept_handover, resign_if_store_unreachable};
 use crate::peer_clients::PeerClients;
-use crate::plan_record::{WorkTimer, record_answer};
+use crate::plan_record::{ReportKind, WorkTimer, record_answer};
 use crate::standalone_share::raise_fleet_size;
 use crate::view_copy::{apply_upstream_updates, apply_view_copy, view_copy};
 
@@ -76,6 +76,7 @@
     let timer = WorkTimer::start();
     let now = gateway.now();
     let lease = lease_renewal(gateway, now);
+    let kind = ReportKind::of(&report);
     let urgent = report.demand.iter().any(|line| line.waiting > 0);
     let mut state = gateway.lock();
     let state = &mut *state;
@@ -103,7 +104,7 @@
         return LeaderAnswer { leader, view, handover, ..LeaderAnswer::default() };
     };
     if let Some(config) = &config {
-        lead.grants.configure(config.teams(), now);
+        lead.configure(config, now);
     }
     let leaving = AnswerNotice { leaving: true, paused_ms: None };
     for start in &report.leaving {
@@ -119,7 +120,7 @@
         crash_cursor: CrashCursor { term: fence, revision: log.cursor() },
         ..answer
     };
-    record_answer(gateway, &mut lead.work, timer);
+    record_answer(gateway, &mut lead.work, kind, timer);
     // Each plan allows full snapshots for more gateways, and deferred ones wait for theirs.
     if urgent || (answer.deferred && !answer.brief) {
         gateway.plan_now.notify_one();
@@ -299,19 +300,19 @@
     state.leader_lost_at = None;
     state.last_leader_contact = Some(sent_at);
     state.leader_renewal = last_renewal(state.leader_renewal, answer.lease, now);
-    state.peers = answer.peers;
+    if !answer.brief {
+        state.peers = answer.peers;
+    }
     apply_members(&mut state, answer.members, answer.fresh);
     state.reported_fleet_size = Some(answer.fleet as usize);
     if state.lead.is_none() && !answer.deferred {
-        apply_upstream_updates(
-            gateway,
-            &mut state,
-            answer.upstreams,
-            answer.fresh,
-            &answer.view,
-            sent_at,
-            now,
-        );
+        let update = UpstreamUpdate {
+            entries: answer.upstreams,
+            models: answer.models,
+            version: answer.view.upstream_version,
+            fresh: answer.fresh,
+        };
+        apply_upstream_updates(gateway, &mut state, update, &answer.view, sent_at, now);
     }
     for (id, names) in answer.adapters {
         state.upstreams.set_adapters(&id, names.unwrap_or_default());
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -1,11 +1,13 @@
 //! State that a gateway has only while it leads.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use cowslip_entry::{
-    ClockMedian, DutyGate, FleetPace, GatewayReport, LeaderAnswer, LeaderHandover, LeaderUpdates,
-    LeaseRenewal, LoadPlanner, PaceCursor, PaceLine, QuotaAllocator, ReceivedHandover, ServiceRule,
-    UpdateBatch, UpstreamRegistry, UsageAnswer, UsageLedger, UsageReport, ViewFreshness, WorkLine,
+    ClockMedian, DutyGate, FleetConfig, FleetPace, GatewayReport, LeaderAnswer, LeaderHandover,
+    LeaderUpdates, LeaseRenewal, LoadPlanner, PaceCursor, PaceLine, QuotaAllocator, ReceivedHandover,
+    RunningLine, ServiceRule, UpdateBatch, UpstreamRegistry, UsageAnswer, UsageLedger, UsageReport,
+    ViewFreshness, WorkLine,
 };
 use cowslip_units::{ClockTime, FencingToken, ModelId, UpstreamId};
 use smol_str::SmolStr;
@@ -36,6 +38,8 @@
     pub usage: Option<UsageLedger>,
     /// Work since the last log line about it.
     pub work: PlanRecord,
+    /// Configuration whose limits apply to the grants.
+    config: Option<Arc<FleetConfig>>,
     clocks: ClockMedian,
     pace: FleetPace,
     addresses: Vec<(SmolStr, SocketAddr)>,
@@ -52,6 +56,7 @@
             duties: None,
             usage: None,
             work: PlanRecord::default(),
+            config: None,
             clocks: ClockMedian::new(),
             pace: FleetPace::default(),
             addresses: Vec::new(),
@@ -113,11 +118,12 @@
         now: ClockTime,
     ) -> LeaderAnswer {
         let gateway = report.gateway.clone();
+        let reads_models = report.reads_models;
         let same_term = report.term == self.fence.get();
         let brief = report.brief && same_term;
         let batch = match brief {
             true => UpdateBatch { deferred: true, ..UpdateBatch::default() },
-            false => self.updates.updates_since(same_term, report.marks),
+            false => self.updates.updates_since(same_term, reads_models, report.marks),
         };
         let lines = report.demand.iter().filter(|line| line.waiting > 0);
         let mut awaited: Vec<&ModelId> = lines.clone().map(|line| &line.model).collect();
@@ -136,16 +142,14 @@
         }
         let usage = report.usage.as_ref().and_then(|usage| self.record_usage(&gateway, usage, now));
         let grants = self.grants.grant(&report.tokens, now);
-        let mut running =
-            if brief { Vec::new() } else { self.planner.demand().running_elsewhere(&report.running) };
-        if self.grants.fleet(now) > SMALL_FLEET {
-            running.retain(|(upstream, count)| self.planner.is_busy(upstream, *count));
-        }
+        let running = if brief { Vec::new() } else { self.running_elsewhere(&report.running, now) };
         let tokens = if brief { Vec::new() } else { self.tokens_elsewhere(&report.work, services) };
         self.pace.record(&report.work, now);
         let (paces, pace_cursor) =
             if brief { (Vec::new(), None) } else { self.pace_lines(report.pace_cursor) };
         self.planner.record_report(report, now);
+        // Gateways of this build keep the peers of their last complete answer.
+        let max_peers = if brief && reads_models { 0 } else { MAX_PEERS };
         let others = self.addresses.iter().rev().filter(|(name, _)| *name != gateway);
         LeaderAnswer {
             leads: true,
@@ -153,12 +157,13 @@
             leader: Some(own),
             view: self.updates.recorded_freshness(view, now),
             lease,
-            peers: others.map(|(_, address)| *address).take(MAX_PEERS).collect(),
+            peers: others.map(|(_, address)| *address).take(max_peers).collect(),
             brief,
             deferred: batch.deferred,
             fresh: batch.fresh,
             marks: batch.marks,
             upstreams: batch.upstreams,
+            models: batch.models,
             adapters: batch.adapters,
             members: batch.members,
             fleet: self.grants.fleet(now) as u32,
@@ -177,6 +182,25 @@
         }
     }
 
+    /// Calls of the other gateways at each upstream, in a large fleet only at busy ones.
+    fn running_elsewhere(&self, own: &[RunningLine], now: ClockTime) -> Vec<(UpstreamId, u32)> {
+        let is_small = self.grants.fleet(now) <= SMALL_FLEET;
+        let is_reported =
+            |upstream: &UpstreamId, calls: u32| is_small || self.planner.is_busy(upstream, calls);
+        let mut lines = self.planner.demand().running_elsewhere(own, is_reported);
+        lines.retain(|(upstream, calls)| is_reported(upstream, *calls));
+        lines
+    }
+
+    /// Applies the teams' limits of a configuration, if they are not applied yet.
+    pub(crate) fn configure(&mut self, config: &Arc<FleetConfig>, now: ClockTime) {
+        if self.config.as_ref().is_some_and(|known| Arc::ptr_eq(known, config)) {
+            return;
+        }
+        self.grants.configure(config.teams(), now);
+        self.config = Some(Arc::clone(config));
+    }
+
     /// Takes over the present paced upstreams. Called with each plan.
     pub(crate) fn sync_pace(
         &mut self,
--- a/crates/cowslip-gateway/src/plan_record.rs
+++ b/crates/cowslip-gateway/src/plan_record.rs
@@ -1,12 +1,12 @@
 //! Log lines and metrics of the leader's work: which loads that requests wait for have not begun and why, which loads use
 //! the weight store, and the processor time of plans and of answers to reports.
 
-use cowslip_entry::{DelayedLoad, LoadCause, LoadDelay, PlanSummary};
+use cowslip_entry::{DelayedLoad, GatewayReport, LoadCause, LoadDelay, PlanSummary};
 use cowslip_runtime::{process_time_us, thread_time_us};
 use cowslip_units::ClockTime;
 use slog::info;
 
-use crate::gateway_metrics::{CauseLabels, TierLabels};
+use crate::gateway_metrics::{CauseLabels, OutcomeLabels, TierLabels};
 use crate::gateway_state::Gateway;
 
 /// Interval in ms between two log lines about the leader's work.
@@ -32,11 +32,59 @@
     }
 }
 
+/// What a report is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReportKind {
+    /// Complete, at the regular interval.
+    Full,
+    /// Brief, and requests wait for tokens.
+    Tokens,
+    /// Brief, and requests wait for models or adapters.
+    Waiting,
+    /// Brief without a request that waits.
+    Idle,
+}
+
+impl ReportKind {
+    /// Kind of a report.
+    pub(crate) fn of(report: &GatewayReport) -> Self {
+        if !report.brief {
+            Self::Full
+        } else if report.tokens.iter().any(|request| request.short > 0) {
+            Self::Tokens
+        } else if report.demand.iter().any(|line| line.waiting > 0) {
+            Self::Waiting
+        } else {
+            Self::Idle
+        }
+    }
+
+    /// Name in labels of metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Tokens => "tokens",
+            Self::Waiting => "waiting",
+            Self::Idle => "idle",
+        }
+    }
+}
+
+/// Reports answered since the last log line, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ReportCounts {
+    full: u64,
+    tokens: u64,
+    waiting: u64,
+    idle: u64,
+}
+
 /// The leader's work since the last log line.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PlanRecord {
     plans: WorkTime,
     answers: WorkTime,
+    reports: ReportCounts,
     process_us: u64,
     logged_at: ClockTime,
 }
@@ -58,8 +106,16 @@
 }
 
 /// Counts an answer to a report.
-pub(crate) fn record_answer(gateway: &Gateway, record: &mut PlanRecord, timer: WorkTimer) {
+pub(crate) fn record_answer(gateway: &Gateway, record: &mut PlanRecord, kind: ReportKind, timer: WorkTimer) {
     let micros = timer.micros();
+    let labels = OutcomeLabels { kind: kind.as_str(), outcome: "answered" };
+    gateway.metrics.report_answers.get_or_create(&labels).inc();
+    match kind {
+        ReportKind::Full => record.reports.full += 1,
+        ReportKind::Tokens => record.reports.tokens += 1,
+        ReportKind::Waiting => record.reports.waiting += 1,
+        ReportKind::Idle => record.reports.idle += 1,
+    }
     gateway.metrics.answer_s.observe(micros as f64 / 1e6);
     record.answers.add(micros);
 }
@@ -106,6 +162,8 @@
     };
     info!(gateway.logger, "leader_work"; "plans" => record.plans.count, "plan_us" => record.plans.micros,
         "answers" => record.answers.count, "answer_us" => record.answers.micros,
+        "full" => record.reports.full, "tokens" => record.reports.tokens,
+        "waiting" => record.reports.waiting, "idle" => record.reports.idle,
         "process_us" => process_time_us().saturating_sub(record.process_us),
         "store_waiting" => loads(LoadCause::Waiting), "store_hot" => loads(LoadCause::Hot),
         "store_replica" => loads(LoadCause::Replica), "store_ahead" => loads(LoadCause::Ahead),
--- a/crates/cowslip-gateway/src/report_builder.rs
+++ b/crates/cowslip-gateway/src/report_builder.rs
@@ -54,6 +54,7 @@
             usage: None,
             work: if brief { Vec::new() } else { self.take_work() },
             pace_cursor: self.pace_cursor,
+            reads_models: true,
         }
     }
 }
--- a/crates/cowslip-gateway/src/view_copy.rs
+++ b/crates/cowslip-gateway/src/view_copy.rs
@@ -1,8 +1,8 @@
 //! Copies of the store's tables that gateways give each other.
 
 use cowslip_adapter::{StoreRow, StoreRows};
-use cowslip_entry::{CopiedRow, UpstreamEntry, UpstreamUpdate, ViewCopy, ViewFreshness};
-use cowslip_units::{ClockTime, UpstreamId};
+use cowslip_entry::{CopiedRow, UpstreamUpdate, ViewCopy, ViewFreshness};
+use cowslip_units::ClockTime;
 use slog::info;
 
 use crate::gateway_state::{Gateway, GatewayState};
@@ -43,29 +43,28 @@
     let operators = StoreRows { rows: rows(copy.operator_rows), version: copy.view.version };
     info!(gateway.logger, "view_copied"; "store_version" => operators.version, "age_ms" => age_ms);
     apply_operator_rows(gateway, operators, ReadExtent::Table, requested_at.minus_ms(age_ms));
-    let upstreams = copy.upstreams.into_iter().map(|entry| (entry.id.clone(), Some(entry))).collect();
+    let entries = copy.upstreams.into_iter().map(|entry| (entry.id.clone(), Some(entry))).collect();
+    let version = copy.view.upstream_version;
+    let update = UpstreamUpdate { entries, models: Vec::new(), version, fresh: true };
     let mut state = gateway.lock();
     if state.lead.is_none() {
-        apply_upstream_updates(gateway, &mut state, upstreams, true, &copy.view, requested_at, gateway.now());
-        state.upstreams.apply_held(&copy.held, copy.view.upstream_version, gateway.now());
+        apply_upstream_updates(gateway, &mut state, update, &copy.view, requested_at, gateway.now());
+        state.upstreams.apply_held(&copy.held, version, gateway.now());
     }
 }
 
-/// Applies upstream entries of another gateway, confirmed as stated in `freshness`. `requested_at` is the
-/// send time of the request for them. With `fresh` they are a full snapshot: upstreams that are not listed
-/// are removed.
+/// Applies an update of another gateway about upstreams, confirmed as stated in `freshness`. `requested_at` is the send
+/// time of the request for it.
 pub(crate) fn apply_upstream_updates(
     gateway: &Gateway,
     state: &mut GatewayState,
-    changes: Vec<(UpstreamId, Option<UpstreamEntry>)>,
-    fresh: bool,
+    update: UpstreamUpdate,
     freshness: &ViewFreshness,
     requested_at: ClockTime,
     now: ClockTime,
 ) {
     apply_store_era(gateway, state, freshness.upstream_version, now);
     let own_version = state.upstream_version;
-    let update = UpstreamUpdate { entries: changes, version: freshness.upstream_version, fresh };
     state.upstreams.apply_update(update, own_version, now);
     state.upstreams_from_store = false;
     state.upstreams_known = true;
