gateway: a report that was due for waiting requests is not sent once they no longer wait

Change: the pause is found again when it ends, and a wake-up counts only for what is not reported yet.

--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -1,6 +1,7 @@
 //! Mutable state of a gateway, and the services shared by its tasks.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cowslip_adapter::{GatewaySettings, StoreClient, StoreRow};
@@ -215,7 +216,9 @@
     /// Wakes waiting requests after a change that may let them proceed.
     pub state_changed: ChangeSignal,
     /// Wakes the report task.
-    pub report_now: Notify,
+    report_now: Notify,
+    /// True when something has to be reported that the last report does not include.
+    report_requested: AtomicBool,
     /// Wakes requests that wait at upstreams while prompt parts are quarantined.
     pub parts_quarantined: Notify,
     /// Wakes the task that tells other gateways of crashes.
@@ -255,6 +258,7 @@
             request_memory: RequestMemory::new(limits.body_bytes(), clock),
             state_changed: ChangeSignal::default(),
             report_now: Notify::new(),
+            report_requested: AtomicBool::new(false),
             crashes_changed: Notify::new(),
             parts_quarantined: Notify::new(),
             watch_now: Notify::new(),
@@ -274,6 +278,24 @@
         self.clock.now()
     }
 
+    /// Asks for a report before the regular one.
+    pub(crate) fn request_report(&self) {
+        self.report_requested.store(true, Ordering::Relaxed);
+        self.report_now.notify_one();
+    }
+
+    /// Records that a report is about to be built, which includes all that was asked for until now.
+    pub(crate) fn begin_report(&self) {
+        self.report_requested.store(false, Ordering::Relaxed);
+    }
+
+    /// Waits until a report is asked for that the last one does not include.
+    pub(crate) async fn wait_report_requested(&self) {
+        while !self.report_requested.load(Ordering::Relaxed) {
+            self.report_now.notified().await;
+        }
+    }
+
     /// Records the delay of a timer of `wait_ms` that was set at `set_at` and fired now.
     pub(crate) fn record_timer(&self, set_at: ClockTime, wait_ms: u64) {
         let now = self.now();
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -244,6 +244,7 @@
 /// The report to send now, with the usage counts where usage is reported.
 fn own_report(gateway: &Gateway, brief: bool, sent_at: ClockTime) -> GatewayReport {
     let own_day = gateway.own_day();
+    gateway.begin_report();
     let mut state = gateway.lock();
     let report = state.build_report(&gateway.settings, brief, sent_at, gateway.crash_time());
     let usage = state.usage.as_mut().map(|meter| meter.report(own_day, sent_at));
@@ -435,28 +436,39 @@
     if members > SMALL_FLEET { report_interval_ms(members) } else { 0 }
 }
 
+/// Time in ms between two reports, as things are now.
+fn report_pause_ms(gateway: &Gateway) -> u64 {
+    let now = gateway.now();
+    let state = gateway.lock();
+    let members = state.members.len();
+    let is_active = state.last_leader_contact.is_some_and(|at| now.since_ms(at) < silent_after_ms(members));
+    let has_leader = is_active && state.leader_lost_at.is_none();
+    let report_ms =
+        if gateway.settings.weak { report_interval_ms(members) } else { candidate_interval_ms(members) };
+    let usual_ms = if has_leader { report_ms } else { LEADERLESS_REPORT_MS };
+    let urgent_ms = urgent_interval_ms(members);
+    if state.has_brief_wait() {
+        urgent_ms.min(usual_ms)
+    } else if state.has_unplaced(now) {
+        LOAD_WAIT_REPORT_MS.max(urgent_ms).min(usual_ms)
+    } else {
+        usual_ms
+    }
+}
+
+/// Waits until the next report is due. One that is due because requests wait is not sent if they no longer do.
 async fn wait_for_next_report(gateway: &Gateway) {
-    let pause_ms = {
-        let now = gateway.now();
-        let state = gateway.lock();
-        let members = state.members.len();
-        let is_active =
-            state.last_leader_contact.is_some_and(|at| now.since_ms(at) < silent_after_ms(members));
-        let has_leader = is_active && state.leader_lost_at.is_none();
-        let report_ms =
-            if gateway.settings.weak { report_interval_ms(members) } else { candidate_interval_ms(members) };
-        let usual_ms = if has_leader { report_ms } else { LEADERLESS_REPORT_MS };
-        let urgent_ms = urgent_interval_ms(members);
-        if state.has_brief_wait() {
-            urgent_ms.min(usual_ms)
-        } else if state.has_unplaced(now) {
-            LOAD_WAIT_REPORT_MS.max(urgent_ms).min(usual_ms)
-        } else {
-            usual_ms
+    let last_at = gateway.now();
+    loop {
+        let due_at = last_at.plus_ms(report_pause_ms(gateway));
+        let pause_ms = due_at.since_ms(gateway.now());
+        if pause_ms == 0 {
+            return;
+        }
+        let requested = gateway.wait_report_requested();
+        if timeout(Duration::from_millis(pause_ms), requested).await.is_ok() {
+            gateway.clock.sleep_ms(MIN_REPORT_MS).await;
+            return;
         }
-    };
-    let woken = timeout(Duration::from_millis(pause_ms), gateway.report_now.notified()).await;
-    if woken.is_ok() {
-        gateway.clock.sleep_ms(MIN_REPORT_MS).await;
     }
 }
--- a/crates/cowslip-gateway/src/lease_task.rs
+++ b/crates/cowslip-gateway/src/lease_task.rs
@@ -194,7 +194,7 @@
     state.probed_at = Some(sent_at);
     if answered {
         state.store_reached_at = Some(sent_at);
-        gateway.report_now.notify_one();
+        gateway.request_report();
     }
 }
 
@@ -253,7 +253,7 @@
         if state.leader != Some(address) {
             state.leader = Some(address);
             drop(state);
-            gateway.report_now.notify_one();
+            gateway.request_report();
         }
     }
 }
@@ -321,7 +321,7 @@
             gateway.metrics.lease_changes.inc();
             info!(gateway.logger, "lead_began"; "fence" => fence.get(), "handover_received" => handover_received,
                 "orders_in_ms" => if handover_received { 0 } else { orders_from.since_ms(now) });
-            gateway.report_now.notify_one();
+            gateway.request_report();
             gateway.watch_now.notify_waiters();
         }
         (None, Some(lead)) => {
--- a/crates/cowslip-gateway/src/part_guard.rs
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -192,7 +192,7 @@
 pub(crate) fn notify_crash_change(gateway: &Gateway, state: &mut GatewayState) {
     if state.quarantine.log.has_urgent() {
         gateway.crashes_changed.notify_one();
-        gateway.report_now.notify_one();
+        gateway.request_report();
     }
     gateway.state_changed.notify_waiters();
     log_quarantine(gateway, state);
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -257,7 +257,7 @@
             if !is_reported {
                 is_reported = true;
                 tokens.short += charge;
-                gateway.report_now.notify_one();
+                gateway.request_report();
             }
         }
         // A missed wake-up only delays the next check.
--- a/crates/cowslip-gateway/src/upstream_choice.rs
+++ b/crates/cowslip-gateway/src/upstream_choice.rs
@@ -264,7 +264,7 @@
         matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter | WaitCause::Away(_) | WaitCause::Full);
     let unplaced = placement && progress.need.model.is_some();
     if state.set_unplaced(ticket, unplaced) {
-        gateway.report_now.notify_one();
+        gateway.request_report();
     }
     let load_eta_ms =
         progress.need.model.as_ref().and_then(|need| state.load_eta_ms(&need.model, false, now));
