--- a/crates/cowslip-entry/src/load_planner.rs
+++ b/crates/cowslip-entry/src/load_planner.rs
@@ -341,6 +341,13 @@
         }
     }
 
+    /// Number of models of a service that no open engine has a copy of.
+    pub fn models_without_copy(&self, rule: &EngineRule) -> usize {
+        let is_open = |id: &UpstreamId| self.engine(id).is_some_and(|engine| !engine.closed);
+        let is_copied = |model: &&ModelRule| self.copies.engines(&model.name).iter().any(is_open);
+        rule.models.len() - rule.models.iter().filter(is_copied).count()
+    }
+
     /// Counts the engines that hold or are about to hold each model.
     fn count_replicas(&mut self, service: &ServiceId) {
         let is_counted = |engine: &PlannedEngine| engine.entry.service == *service && !engine.closed;
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -155,6 +155,8 @@
     pub store_loads: Family<CauseLabels, Gauge>,
     /// Loads that requests wait for and that this gateway, as leader, has not begun, by reason.
     pub delayed_loads: Family<CauseLabels, Gauge>,
+    /// Models that no open engine has a copy of, as far as this gateway knows as leader.
+    pub models_without_copy: Gauge,
     /// Longest wait in seconds of a model's requests as its load began, by the place of the weights.
     pub load_wait_s: Family<TierLabels, Histogram>,
     /// Reports that this gateway has answered as leader, by kind.
@@ -212,6 +214,7 @@
             timer_late_s: times(),
             store_loads: Family::default(),
             delayed_loads: Family::default(),
+            models_without_copy: Gauge::default(),
             load_wait_s: Family::new_with_constructor(times),
             report_answers: Family::default(),
             plan_s: processor_times(),
@@ -305,6 +308,11 @@
             "Loads that requests wait for and that have not begun, by reason",
             self.delayed_loads.clone(),
         );
+        registry.register(
+            "models_without_copy",
+            "Models that no open engine has a copy of",
+            self.models_without_copy.clone(),
+        );
         registry.register(
             "load_wait_seconds",
             "Longest wait for a load until it began, by place of the weights",
--- a/crates/cowslip-gateway/src/plan_record.rs
+++ b/crates/cowslip-gateway/src/plan_record.rs
@@ -1,7 +1,9 @@
 //! Log lines and metrics of the leader's work: which loads that requests wait for have not begun and why, which loads use
 //! the weight store, and the processor time of plans and of answers to reports.
 
-use cowslip_entry::{DelayedLoad, GatewayReport, LoadCause, LoadDelay, PlanSummary};
+use cowslip_entry::{
+    DelayedLoad, GatewayReport, LoadCause, LoadDelay, LoadPlanner, PlanSummary, ServiceRule,
+};
 use cowslip_runtime::{process_time_us, thread_time_us};
 use cowslip_units::ClockTime;
 use slog::info;
@@ -124,10 +126,12 @@
 pub(crate) fn record_plan(
     gateway: &Gateway,
     record: &mut PlanRecord,
-    summary: &PlanSummary,
+    planner: &LoadPlanner,
+    services: &[ServiceRule],
     timer: WorkTimer,
     now: ClockTime,
 ) {
+    let summary = &planner.summary();
     let micros = timer.micros();
     gateway.metrics.plan_s.observe(micros as f64 / 1e6);
     record.plans.add(micros);
@@ -138,8 +142,11 @@
     if now.since_ms(record.logged_at) < LINE_INTERVAL_MS {
         return;
     }
+    let rules = services.iter().filter_map(|service| service.engine.as_ref());
+    let without_copy: usize = rules.map(|rule| planner.models_without_copy(rule)).sum();
+    gateway.metrics.models_without_copy.set(i64::try_from(without_copy).unwrap_or(i64::MAX));
     record_gauges(gateway, summary);
-    log_work(gateway, record, summary);
+    log_work(gateway, record, summary, without_copy);
     log_delayed(gateway, &summary.delayed);
     *record = PlanRecord { process_us: process_time_us(), logged_at: now, ..PlanRecord::default() };
 }
@@ -156,7 +163,7 @@
     }
 }
 
-fn log_work(gateway: &Gateway, record: &PlanRecord, summary: &PlanSummary) {
+fn log_work(gateway: &Gateway, record: &PlanRecord, summary: &PlanSummary, without_copy: usize) {
     let loads = |cause: LoadCause| {
         summary.store.iter().find(|store_use| store_use.cause == cause).map_or(0, |store_use| store_use.loads)
     };
@@ -170,6 +177,7 @@
         "store_busy" => summary.delayed_by(LoadDelay::StoreBusy),
         "engine_busy" => summary.delayed_by(LoadDelay::EngineBusy),
         "no_engine" => summary.delayed_by(LoadDelay::NoEngine),
+        "models_without_copy" => without_copy,
         "oldest_ms" => summary.delayed.iter().map(|load| load.oldest_ms).max());
 }
 
--- a/crates/cowslip-gateway/src/plan_task.rs
+++ b/crates/cowslip-gateway/src/plan_task.rs
@@ -98,8 +98,7 @@
     let steps = lead.planner.step(config.services(), now);
     lead.record_updates(&state.upstreams, confirmed, now);
     lead.sync_pace(&state.upstreams, config.services(), now);
-    let summary = lead.planner.summary();
-    record_plan(gateway, &mut lead.work, &summary, timer, now);
+    record_plan(gateway, &mut lead.work, &lead.planner, config.services(), timer, now);
     steps.into_iter().map(|step| (step, fence)).collect()
 }
 
