gateway: a request whose model comes too late is refused at once, with the time until it can be served

What callers saw: requests for models that no engine holds were held for the caller's whole patience (11.9 s) and then refused, with a Retry-After of 1 s, which was untrue.

Cause: gateways knew when a load ends once it had begun.

Change: the leader tells the gateways that wait for a model when it expects an engine to hold it: by the place among the models that wait for the store, or by the busy engine with a copy. A request that this is too late for is refused with that time; one that it is not too late for asks again after half of it, 0.5 s at most.

--- a/crates/cowslip-entry/src/fleet_messages.rs
+++ b/crates/cowslip-entry/src/fleet_messages.rs
@@ -224,6 +224,15 @@
     pub begun: bool,
 }
 
+/// A model that requests wait for and whose load has not begun.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DelayLine {
+    /// Model that is waited for.
+    pub model: ModelId,
+    /// Expected time in ms until an upstream can serve the model.
+    pub wait_ms: u64,
+}
+
 /// An upstream that holds a model or adapter for which requests of a gateway wait.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlaceLine {
@@ -318,6 +327,9 @@
     pub running: Vec<(UpstreamId, u32)>,
     /// Models that requests of the gateway wait for and that are being loaded.
     pub arrivals: Vec<ArrivalLine>,
+    /// Models that requests of the gateway wait for and whose loads have not begun.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub delays: Vec<DelayLine>,
     /// Upstreams that hold what requests of the gateway wait for, as of the leader's last orders. Their
     /// entries in the store list it only one heartbeat later.
     pub places: Vec<PlaceLine>,
--- a/crates/cowslip-entry/src/lib.rs
+++ b/crates/cowslip-entry/src/lib.rs
@@ -136,9 +136,9 @@
 pub use fleet_config::FleetConfig;
 pub use fleet_members::FleetMembers;
 pub use fleet_messages::{
-    AdapterName, ArrivalLine, CopiedRow, CrashCursor, DemandLine, GatewayReport, LeaderAnswer, LeaseRenewal,
-    PaceCursor, PaceLine, PlaceLine, QuotaRequest, RunningLine, StandaloneQuota, TokenGrantLine,
-    UpdateCursors, ViewCopy, ViewFreshness, WorkLine, last_renewal,
+    AdapterName, ArrivalLine, CopiedRow, CrashCursor, DelayLine, DemandLine, GatewayReport, LeaderAnswer,
+    LeaseRenewal, PaceCursor, PaceLine, PlaceLine, QuotaRequest, RunningLine, StandaloneQuota,
+    TokenGrantLine, UpdateCursors, ViewCopy, ViewFreshness, WorkLine, last_renewal,
 };
 pub use fleet_pace::FleetPace;
 pub use full_backoff::FullBackoff;
--- a/crates/cowslip-gateway/src/gateway_state.rs
+++ b/crates/cowslip-gateway/src/gateway_state.rs
@@ -6,10 +6,10 @@
 
 use cowslip_adapter::{GatewaySettings, StoreClient, StoreRow};
 use cowslip_entry::{
-    ArrivalLine, CallerLimits, CrashCursor, LeaderHandover, ModelNeed, OperatorView, OutputEstimate,
-    PaceCursor, PartQuarantine, PickContext, ProcessDelay, ReceivedHandover, RequestNeed, RetryThrottle,
-    RunningLine, ServiceRule, StoreOutage, TokenQuota, UpdateCursors, UpstreamFreshness, UpstreamPick,
-    UpstreamRegistry, UsageMeter, ViewFreshness, WaitCause,
+    ArrivalLine, CallerLimits, CrashCursor, DelayLine, LeaderHandover, ModelNeed, OperatorView,
+    OutputEstimate, PaceCursor, PartQuarantine, PickContext, ProcessDelay, ReceivedHandover, RequestNeed,
+    RetryThrottle, RunningLine, ServiceRule, StoreOutage, TokenQuota, UpdateCursors, UpstreamFreshness,
+    UpstreamPick, UpstreamRegistry, UsageMeter, ViewFreshness, WaitCause,
 };
 use cowslip_fleet::LeaderLease;
 use cowslip_runtime::{CallerConnections, ProcessClock, descriptor_limit};
@@ -34,6 +34,12 @@
 /// is asked again.
 const LATE_LOAD_MS: u64 = 150;
 
+/// Time in ms for which the leader's estimate of a load that has not begun is used.
+const DELAY_VALID_MS: u64 = 2_000;
+
+/// Shortest and longest time in ms between two reports while requests wait for loads that have not begun.
+const LOAD_POLL_MS: (u64, u64) = (120, 500);
+
 /// Time in ms for which a successful store call counts as proof that the store is reachable.
 const STORE_REACHABLE_MS: u64 = 700;
 
@@ -69,6 +75,17 @@
     pub begun: bool,
 }
 
+/// The leader's estimate of when a model can be served whose load has not begun.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadDelayEstimate {
+    /// Model that requests wait for.
+    pub model: ModelId,
+    /// Expected end of the load.
+    pub at: ClockTime,
+    /// End of the time for which the estimate is used.
+    pub until: ClockTime,
+}
+
 /// Number of requests for a model since the last report.
 #[derive(Clone, Debug)]
 pub(crate) struct ArrivalCount {
@@ -139,6 +156,8 @@
     pub leader_renewal: Option<(u64, ClockTime)>,
     /// Loads reported by the leader, running or planned.
     pub pending_loads: Vec<PendingLoad>,
+    /// The leader's estimates for loads that have not begun.
+    pub load_delays: Vec<LoadDelayEstimate>,
     /// Requests that wait for an upstream.
     pub waiting: Vec<WaitingRequest>,
     /// The admission queue, in which requests wait for services that have it.
@@ -341,6 +360,7 @@
             leader_lost_at: None,
             leader_renewal: None,
             pending_loads: Vec::new(),
+            load_delays: Vec::new(),
             waiting: Vec::new(),
             admission: AdmissionTurns::default(),
             tokens: Vec::new(),
@@ -481,16 +501,48 @@
     }
 
     /// True when a request waits for something that takes milliseconds: tokens or an adapter.
-    pub(crate) fn has_brief_wait(&self) -> bool {
-        let adapter = |waiting: &WaitingRequest| waiting.unplaced && waiting.need.adapter.is_some();
+    pub(crate) fn has_brief_wait(&self, now: ClockTime) -> bool {
+        let adapter = |waiting: &WaitingRequest| {
+            let is_model_awaited = || self.load_delay_ms(&waiting.need.model, now).is_some();
+            waiting.unplaced && waiting.need.adapter.is_some() && !is_model_awaited()
+        };
         self.tokens.iter().any(|tokens| tokens.short > 0) || self.waiting.iter().any(adapter)
     }
 
-    /// True when a request waits for a model that no upstream holds and for which the leader reported no
-    /// load.
-    pub(crate) fn has_unplaced(&self, now: ClockTime) -> bool {
-        let is_expected = |model: &ModelId| self.load_eta_ms(model, true, now).is_some();
-        self.waiting.iter().any(|waiting| waiting.unplaced && !is_expected(&waiting.need.model))
+    /// Time in ms until the leader should be asked again about models that requests wait for and whose loads have not
+    /// begun; `None` when there are none. A load is asked about before the leader expects its engine to be half way.
+    pub(crate) fn unplaced_poll_ms(&self, now: ClockTime) -> Option<u64> {
+        let poll_ms = |waiting: &WaitingRequest| {
+            let model = &waiting.need.model;
+            if !waiting.unplaced || self.load_eta_ms(model, true, now).is_some() {
+                return None;
+            }
+            let half_ms = self.load_delay_ms(model, now).map_or(0, |wait_ms| wait_ms / 2);
+            Some(half_ms.clamp(LOAD_POLL_MS.0, LOAD_POLL_MS.1))
+        };
+        self.waiting.iter().filter_map(poll_ms).min()
+    }
+
+    /// Time in ms until a model can be served whose load has not begun, as the leader last estimated; `None` without a
+    /// recent estimate.
+    pub(crate) fn load_delay_ms(&self, model: &ModelId, now: ClockTime) -> Option<u64> {
+        let line = self.load_delays.iter().find(|line| line.model == *model && now < line.until)?;
+        Some(line.at.since_ms(now))
+    }
+
+    /// Applies the leader's estimates.
+    pub(crate) fn set_load_delays(&mut self, lines: Vec<DelayLine>, now: ClockTime) {
+        let is_placed = |model: &ModelId| self.pending_loads.iter().any(|load| load.model == *model);
+        self.load_delays.retain(|known| {
+            now < known.until
+                && !is_placed(&known.model)
+                && !lines.iter().any(|line| line.model == known.model)
+        });
+        self.load_delays.extend(lines.into_iter().map(|line| LoadDelayEstimate {
+            model: line.model,
+            at: now.plus_ms(line.wait_ms),
+            until: now.plus_ms(DELAY_VALID_MS),
+        }));
     }
 
     /// Time in ms until a load of the model reported by the leader ends; with `begun`, only loads that have
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -25,9 +25,6 @@
 use crate::standalone_share::raise_fleet_size;
 use crate::view_copy::{apply_upstream_updates, apply_view_copy, view_copy};
 
-/// Report interval in ms while requests wait for loads, which take a second or more.
-const LOAD_WAIT_REPORT_MS: u64 = 120;
-
 /// Report interval in ms while no leader answers.
 const LEADERLESS_REPORT_MS: u64 = 150;
 
@@ -338,6 +335,7 @@
     set_standalone_shares(&mut state, &gateway.settings.name, &answer.rooms, now);
     apply_crashes(gateway, &mut state, &crashes, &answer.crashes, answer.crash_cursor);
     state.set_pending_loads(answer.arrivals, now);
+    state.set_load_delays(answer.delays, now);
     for tokens in &mut state.tokens {
         tokens.quota.record_answer(answer.term);
     }
@@ -447,10 +445,10 @@
         if gateway.settings.weak { report_interval_ms(members) } else { candidate_interval_ms(members) };
     let usual_ms = if has_leader { report_ms } else { LEADERLESS_REPORT_MS };
     let urgent_ms = urgent_interval_ms(members);
-    if state.has_brief_wait() {
+    if state.has_brief_wait(now) {
         urgent_ms.min(usual_ms)
-    } else if state.has_unplaced(now) {
-        LOAD_WAIT_REPORT_MS.max(urgent_ms).min(usual_ms)
+    } else if let Some(poll_ms) = state.unplaced_poll_ms(now) {
+        poll_ms.max(urgent_ms).min(usual_ms)
     } else {
         usual_ms
     }
--- a/crates/cowslip-gateway/src/leader_state.rs
+++ b/crates/cowslip-gateway/src/leader_state.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use cowslip_entry::{
-    ClockMedian, DutyGate, FleetConfig, FleetPace, GatewayReport, LeaderAnswer, LeaderHandover,
-    LeaderUpdates, LeaseRenewal, LoadPlanner, PaceCursor, PaceLine, QuotaAllocator, ReceivedHandover,
-    RunningLine, ServiceRule, UpdateBatch, UpstreamRegistry, UsageAnswer, UsageLedger, UsageReport,
-    ViewFreshness, WorkLine,
+    ArrivalLine, ClockMedian, DelayLine, DutyGate, FleetConfig, FleetPace, GatewayReport, LeaderAnswer,
+    LeaderHandover, LeaderUpdates, LeaseRenewal, LoadPlanner, PaceCursor, PaceLine, QuotaAllocator,
+    ReceivedHandover, RunningLine, ServiceRule, UpdateBatch, UpstreamRegistry, UsageAnswer, UsageLedger,
+    UsageReport, ViewFreshness, WorkLine,
 };
 use cowslip_units::{ClockTime, FencingToken, ModelId, UpstreamId};
 use smol_str::SmolStr;
@@ -129,8 +129,13 @@
         let mut awaited: Vec<&ModelId> = lines.clone().map(|line| &line.model).collect();
         awaited.sort_unstable();
         awaited.dedup();
-        let arrivals =
-            awaited.into_iter().flat_map(|model| self.planner.pending_loads_of(model, now)).collect();
+        let loads = awaited.iter().flat_map(|model| self.planner.pending_loads_of(model, now));
+        let arrivals: Vec<ArrivalLine> = loads.collect();
+        let delay = |model: &ModelId| {
+            let wait_ms = self.planner.expected_wait_ms(services, model, now)?;
+            Some(DelayLine { model: model.clone(), wait_ms })
+        };
+        let delays = awaited.into_iter().filter_map(delay).collect();
         let places = lines
             .flat_map(|line| self.planner.places(&gateway, &line.model, line.adapter.as_ref(), now))
             .collect();
@@ -171,6 +176,7 @@
             rooms: if brief { Vec::new() } else { self.grants.standalone_quotas(now) },
             running,
             arrivals,
+            delays,
             places,
             left,
             leaving: if brief { Vec::new() } else { self.planner.leaving() },
--- a/crates/cowslip-gateway/src/upstream_choice.rs
+++ b/crates/cowslip-gateway/src/upstream_choice.rs
@@ -266,8 +266,9 @@
     if state.set_unplaced(ticket, unplaced) {
         gateway.request_report();
     }
-    let load_eta_ms =
-        progress.need.model.as_ref().and_then(|need| state.load_eta_ms(&need.model, false, now));
+    let load_eta_ms = progress.need.model.as_ref().and_then(|need| {
+        state.load_eta_ms(&need.model, false, now).or_else(|| state.load_delay_ms(&need.model, now))
+    });
     drop(state);
     let wait_ms = match cause {
         WaitCause::NoModel => load_eta_ms.unwrap_or(0),
