--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -106,11 +106,31 @@
         self.calls = 0
         self.server = None
         self.port = None
+        self.era = 0
+        self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 21)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port or 0, limit=1 << 21)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def copy(self):
+        """A copy of all that the store holds now."""
+        return dict(self.rows), dict(self.removed), self.version
+
+    def go_away(self):
+        """Takes no connections and ends those that are open."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def come_back(self, copy):
+        """Serves again from an earlier copy: versions go back, and the era rises by one."""
+        rows, removed, self.version = copy
+        self.rows, self.removed = dict(rows), dict(removed)
+        self.era += 1
+        await self.start()
+        self.wake()
+
     def put(self, table, key, value, part=""):
         """A write of the operator or of a server; returns the version."""
         self.version += 1
@@ -135,6 +155,7 @@
         return {"table": place[0], "part": place[1], "key": place[2], "value": value, "ver": version}
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -146,13 +167,14 @@
                 status, answer = await self.answer(method, target, body)
                 data = json.dumps({**answer, "now_ms": int((time.monotonic() - self.began) * 1000)}).encode()
                 writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-                    + data
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             close(writer)
 
     async def answer(self, method, target, body):
