--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -21,6 +21,8 @@
 KEY = "k-review-1"
 TEAM = "team-a"
 HOST = "review.example"
+ANSWER_S = 0.004  # an answer of the store
+TRANSACTION_S = 0.005  # on top of that for a transaction
 
 
 class CannotRun(Exception):
@@ -164,6 +166,7 @@
                 method, target, _ = head[0].split(" ", 2)
                 body = await read_body(reader, head[1])
                 self.calls += 1
+                await asyncio.sleep(ANSWER_S + (TRANSACTION_S if method == "POST" else 0))
                 status, answer = await self.answer(method, target, body)
                 data = json.dumps({**answer, "now_ms": int((time.monotonic() - self.began) * 1000)}).encode()
                 writer.write(
