--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,6 +19,7 @@
 THAW_S = 0.3  # thaw_ms: orders that arrive so soon after their sender was thawed don't count
 FREEZE_AFTER_S = 1.5  # after the leader's death
 COPY_AFTER_S = 0.8  # after the freeze
+DRILL_AFTER_S = 2.0  # after the first orders of the second leader
 AWAY_S = 0.3  # for so long the store is away
 THAW_AFTER_S = 1.0  # after the store's return
 DRILL = os.environ.get("DRILL", "1") != "0"
@@ -139,6 +140,7 @@
         until = loop.time() + 8
         while loop.time() < until and sum(holder == second.name for _, _, holder, _ in orders) < 4:
             await asyncio.sleep(0.02)
+        await asyncio.sleep(DRILL_AFTER_S)
         if DRILL:
             store.go_away()
             record.line("drill: the store is away")
