gateway: reads and writes of the lease row are logged with their eras

Callers saw nothing of this change.

`lease_read` now has `row_era`, `store_era`, `epoch`, `highest_epoch` and `holds`; `lease_write` is new and stands for each takeover and each renewal that was not carried out, with the version and era of its condition.

--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -184,6 +184,16 @@
         self.seen.as_ref()?.row.holder.as_ref()
     }
 
+    /// Epoch of the row as last read; `None` before the first read.
+    pub fn observed_epoch(&self) -> Option<FencingToken> {
+        self.seen.as_ref().map(|seen| seen.row.epoch)
+    }
+
+    /// The highest epoch that must not be used any more.
+    pub fn highest_epoch(&self) -> FencingToken {
+        self.highest_epoch
+    }
+
     /// Adds the condition that no later epoch was taken; `None` when this process must not act. The row of
     /// the next epoch is written by a takeover only, not by renewals, so a renewal never fails an unrelated
     /// write.
--- a/crates/cowslip-gateway/src/lease_task.rs
+++ b/crates/cowslip-gateway/src/lease_task.rs
@@ -8,8 +8,8 @@
     DutyGate, LeaderHandover, LoadPlanner, QuotaAllocator, ReceivedHandover, UsageLedger, hash_rank,
     silent_after_ms,
 };
-use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
-use cowslip_platform::{RowValue, TableService};
+use cowslip_fleet::{LEASE_EPOCH_PREFIX, LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
+use cowslip_platform::{PlatformError, RowValue, TableService, TableTransaction, TransactionOutcome};
 use cowslip_units::{ClockTime, FencingToken, StoreEra};
 use slog::{info, warn};
 
@@ -120,7 +120,7 @@
             let result = gateway.store.read(LEASE_KEY).await;
             gateway.metrics.count_store_call("lease_read", result.is_err());
             lease.read_answered(&result, gateway.now());
-            log_lease(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
+            log_lease_read(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
             record_probe(&gateway, result.is_ok(), now);
             continue;
         }
@@ -142,12 +142,13 @@
                 let result = gateway.store.read(LEASE_KEY).await;
                 gateway.metrics.count_store_call("lease_read", result.is_err());
                 lease.read_answered(&result, gateway.now());
-                log_lease(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
+                log_lease_read(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
             }
             LeaseStep::Commit(transaction) => {
                 let result = gateway.store.commit(&transaction).await;
                 gateway.metrics.count_store_call("lease_write", result.is_err());
                 lease.commit_answered(&result, gateway.now());
+                log_lease_write(&gateway, &lease, &transaction, &result);
             }
         }
         update_leader(&gateway, &lease);
@@ -160,14 +161,40 @@
     FencingToken::new(era.get() << ERA_EPOCH_BITS)
 }
 
-fn log_lease(gateway: &Gateway, lease: &LeaderLease, row: Option<&RowValue>) {
+fn log_lease_read(gateway: &Gateway, lease: &LeaderLease, row: Option<&RowValue>) {
     let now = gateway.now();
     let reported_version = gateway.lock().leader_renewal.map(|(version, _)| version);
-    info!(gateway.logger, "lease_read"; "version" => row.map(|row| row.version), "reported_version" => reported_version,
-        "holder" => lease.holder().map(|holder| holder.vm.to_string()),
+    let version = row.map(|row| row.version);
+    info!(gateway.logger, "lease_read"; "version" => version.map(StoreEra::raw_version),
+        "row_era" => version.map(|version| StoreEra::of(version).get()),
+        "store_era" => gateway.store.era().get(), "reported_version" => reported_version,
+        "epoch" => lease.observed_epoch().map(FencingToken::get), "highest_epoch" => lease.highest_epoch().get(),
+        "holder" => lease.holder().map(|holder| holder.vm.to_string()), "holds" => lease.is_leader(now),
         "takeover_in_ms" => lease.takeover_at().map(|at| at.since_ms(now)));
 }
 
+/// Logs takeovers, and renewals that the store did not carry out.
+fn log_lease_write(
+    gateway: &Gateway,
+    lease: &LeaderLease,
+    transaction: &TableTransaction,
+    result: &Result<TransactionOutcome, PlatformError>,
+) {
+    let epoch = transaction.puts.iter().find_map(|(key, _)| key.strip_prefix(LEASE_EPOCH_PREFIX));
+    let committed = result.as_ref().is_ok_and(|outcome| outcome.committed);
+    if epoch.is_none() && committed {
+        return;
+    }
+    let condition = transaction.conditions.iter().find(|condition| condition.key == LEASE_KEY);
+    let version = condition.and_then(|condition| condition.version);
+    let error = result.as_ref().err().map(ToString::to_string);
+    info!(gateway.logger, "lease_write"; "takeover_epoch" => epoch, "committed" => committed, "error" => error,
+        "condition_version" => version.map(StoreEra::raw_version),
+        "condition_era" => version.map(|version| StoreEra::of(version).get()),
+        "store_era" => gateway.store.era().get(), "highest_epoch" => lease.highest_epoch().get(),
+        "holds" => lease.is_leader(gateway.now()));
+}
+
 /// True when this gateway should leave the lead to others. Any VM can lead a small fleet.
 fn is_weak(gateway: &Gateway, state: &GatewayState) -> bool {
     gateway.settings.weak && state.member_count() > SMALL_FLEET
