fleet, gateway: a lease is of one era of the store

Cause: the store compares the numbers of conditions, and after a return the lease row has the number again that the candidate had read before. The takeover sent on it is carried out. `StoreClient::commit` checked the era before the call only, and the lease heard of it at the head of its loop only, so the answer of the new era counted as that of the old one, and an epoch of the old one was held. The read that follows a write in doubt and the read of a probe could end the same way; both are played in virtual time.

Change: - `LeaderLease` is told the era with each result, and keeps for each row in which era it was read. What was read or sent in an earlier era gives no lease: the row is read again, a takeover waits a whole lease from the first read in the era, since the last holder of the earlier one may act that long; a write in flight is given up.

Why it works: a token is held only if the store carried out its takeover in the token's era, where the row that marks it as taken is absent once. Tokens of a later era are higher, and the first holder of an era begins after the last one of the era before has ended.

--- a/crates/cowslip-controller/src/lease_loop.rs
+++ b/crates/cowslip-controller/src/lease_loop.rs
@@ -2,6 +2,7 @@
 
 use cowslip_fleet::{LEASE_KEY, LeaseStep};
 use cowslip_platform::EngineOrders;
+use cowslip_units::StoreEra;
 
 use crate::{ControllerCore, PlatformServices};
 
@@ -27,12 +28,12 @@
                 LeaseStep::Read => {
                     let result = self.store_result(self.platform.read(LEASE_KEY).await);
                     let now = self.now();
-                    self.lock().lease.read_answered(&result, now);
+                    self.lock().lease.read_answered(&result, StoreEra::ZERO, now);
                 }
                 LeaseStep::Commit(transaction) => {
                     let result = self.store_result(self.platform.commit(&transaction).await);
                     let now = self.now();
-                    self.lock().lease.commit_answered(&result, now);
+                    self.lock().lease.commit_answered(&result, StoreEra::ZERO, now);
                 }
             }
             self.planner_wake.notify_one();
--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -1,7 +1,7 @@
 //! Leader lease as seen by its holder and by candidates.
 
 use cowslip_platform::{PlatformError, RowValue, TableTransaction, TransactionOutcome};
-use cowslip_units::{ClockTime, FencingToken};
+use cowslip_units::{ClockTime, FencingToken, StoreEra};
 
 use crate::{LEASE_EPOCH_PREFIX, LEASE_KEY, LeaseHolder, LeaseRow, LeaseTimes, epoch_key};
 
@@ -19,6 +19,8 @@
 /// The lease row as last read.
 #[derive(Clone, Debug, PartialEq)]
 struct ObservedRow {
+    /// Era of the store in which it was read.
+    era: StoreEra,
     row_version: Option<u64>,
     row: LeaseRow,
     /// When the first answer with this version arrived; the version was written before that.
@@ -47,6 +49,11 @@
 /// The caller loops: call [`next`](Self::next), carry out the step, pass the result back. Calls must have a
 /// timeout of at most 500 ms. The lease is judged by this process's own monotonic clock only; no time is
 /// written to the row.
+///
+/// A store that is restored from a backup begins a new era, assigns version numbers a second time, and may have
+/// lost the last takeovers. So nothing that was read or sent in an earlier era gives a lease: a holder reads the
+/// row again, and a candidate waits a whole lease from its first read in the new era, because the last holder of
+/// the earlier one may act until then. An epoch of an earlier era is never held in a later one.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeaderLease {
     own: LeaseHolder,
@@ -60,6 +67,8 @@
     step_at: ClockTime,
     next_at: ClockTime,
     highest_epoch: FencingToken,
+    /// The newest known era of the store.
+    era: StoreEra,
     /// Version of the holder's row and its time of renewal, as reported by the holder.
     reported_renewal: Option<(u64, ClockTime)>,
     /// When the previous holder's row was first seen, which is later than its last renewal, and whether that
@@ -92,6 +101,7 @@
             step_at: ClockTime::ZERO,
             next_at: ClockTime::ZERO,
             highest_epoch: FencingToken::ZERO,
+            era: StoreEra::ZERO,
             reported_renewal: None,
             previous_holder: None,
             same_vm_held_ms: None,
@@ -166,6 +176,17 @@
         self.same_vm_held_ms
     }
 
+    /// Time from which this holder may act so that at least `gap_ms` lie between its acts and those of earlier
+    /// holders, which act for at most `acts_ms` after each renewal. A restarted VM that held the lease long
+    /// enough before is the only one that can have acted.
+    pub fn acts_from(&self, acts_ms: u64, gap_ms: u64, now: ClockTime) -> ClockTime {
+        let is_sole = self.same_vm_held_ms.is_some_and(|held_ms| held_ms >= acts_ms + gap_ms);
+        match self.previous_holder_until(acts_ms, now) {
+            Some(until) if !is_sole => until.plus_ms(gap_ms).max(now),
+            _ => now,
+        }
+    }
+
     /// The epoch in which this process may act as leader now; `None` when it must not act.
     pub fn epoch(&self, now: ClockTime) -> Option<FencingToken> {
         let from = self.valid_from.filter(|_| self.role == LeaseRole::Holder)?;
@@ -189,6 +210,16 @@
         self.seen.as_ref().map(|seen| seen.row.epoch)
     }
 
+    /// Epoch of the write whose result is not known yet.
+    pub fn pending_epoch(&self) -> Option<FencingToken> {
+        self.sent.as_ref().map(|sent| sent.row.epoch)
+    }
+
+    /// The newest known era of the store.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// The highest epoch that must not be used any more.
     pub fn highest_epoch(&self) -> FencingToken {
         self.highest_epoch
@@ -238,9 +269,29 @@
         self.released_epoch = self.released_epoch.max(Some(epoch));
     }
 
-    /// Records that another process reported this epoch as taken, or that epochs up to it must not be used.
+    /// Records that another process reported this epoch as taken. A candidate that hears of an epoch of a later
+    /// store era reads the row again before it takes over.
     pub fn observe_epoch(&mut self, epoch: FencingToken) {
-        self.highest_epoch = self.highest_epoch.max(epoch);
+        if epoch <= self.highest_epoch {
+            return;
+        }
+        self.highest_epoch = epoch;
+        if epoch.era() > self.era && self.role == LeaseRole::Candidate {
+            self.seen = None;
+        }
+    }
+
+    /// Records the newest known era of the store. A write that was sent in an earlier one gives no lease, even
+    /// if it takes effect.
+    pub fn observe_era(&mut self, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.highest_epoch = self.highest_epoch.max(FencingToken::before_era(era));
+        if let Some(sent) = self.sent.take() {
+            self.abandoned_epoch = Some(sent.row.epoch);
+        }
     }
 
     /// True while this process holds the lease and its last write failed.
@@ -270,7 +321,7 @@
         if self.sent.as_ref().is_some_and(|sent| sent.in_doubt) {
             return LeaseStep::Read;
         }
-        let Some(seen) = self.seen.clone() else {
+        let Some(seen) = self.seen.clone().filter(|seen| seen.era == self.era) else {
             return LeaseStep::Read;
         };
         match self.role {
@@ -290,12 +341,16 @@
         now >= self.takeover_due(seen)
     }
 
+    /// True for a row of an older backup of the store, which does not identify the last holder.
+    fn is_outdated(&self, row: &LeaseRow) -> bool {
+        row.epoch < self.highest_epoch
+    }
+
     /// When the row may be taken over if it does not change.
     fn takeover_due(&self, seen: &ObservedRow) -> ClockTime {
         let epoch = Some(seen.row.epoch);
         match &seen.row.holder {
-            // The row of an older backup of the store does not identify the last holder.
-            _ if seen.row.epoch < self.highest_epoch => seen.since.plus_ms(self.times.takeover_ms),
+            _ if self.is_outdated(&seen.row) => seen.since.plus_ms(self.times.takeover_ms),
             None => seen.since,
             Some(_) if epoch == self.released_epoch => seen.since,
             Some(_) if epoch == self.abandoned_epoch => seen.since.plus_ms(self.times.takeover_ms),
@@ -336,16 +391,30 @@
         )
     }
 
-    /// Handles the result of [`LeaseStep::Read`].
-    pub fn read_answered(&mut self, result: &Result<Option<RowValue>, PlatformError>, now: ClockTime) {
+    /// Handles the result of [`LeaseStep::Read`]. `era` is the newest known era of the store, and that of the
+    /// row.
+    pub fn read_answered(
+        &mut self,
+        result: &Result<Option<RowValue>, PlatformError>,
+        era: StoreEra,
+        now: ClockTime,
+    ) {
+        self.observe_era(era);
         match result {
             Ok(row) => self.observe(row.as_ref(), now),
             Err(_) => self.next_at = now.plus_ms(self.times.retry_ms),
         }
     }
 
-    /// Handles the result of [`LeaseStep::Commit`].
-    pub fn commit_answered(&mut self, result: &Result<TransactionOutcome, PlatformError>, now: ClockTime) {
+    /// Handles the result of [`LeaseStep::Commit`]. `era` is the newest known era of the store, and that of the
+    /// outcome.
+    pub fn commit_answered(
+        &mut self,
+        result: &Result<TransactionOutcome, PlatformError>,
+        era: StoreEra,
+        now: ClockTime,
+    ) {
+        self.observe_era(era);
         self.failing = result.is_err();
         match result {
             Ok(outcome) if outcome.committed => {
@@ -385,12 +454,11 @@
             Some(Err(_)) => LeaseRow { holder: Some(unreadable_holder()), ..LeaseRow::default() },
             None => LeaseRow::default(),
         };
-        let same = self.seen.as_ref().filter(|seen| seen.row_version == row_version);
+        let same = self.seen.as_ref().filter(|seen| (seen.era, seen.row_version) == (self.era, row_version));
         let reported_at =
             self.reported_renewal.filter(|(version, _)| Some(*version) == row_version).map(|(_, at)| at);
         let since = same.map_or(now, |seen| seen.since).min(reported_at.unwrap_or(now));
-        // A row with an earlier epoch than one already seen comes from an older backup of the store.
-        let outdated = row.epoch < self.highest_epoch;
+        let outdated = self.is_outdated(&row);
         self.highest_epoch = self.highest_epoch.max(row.epoch);
         let own =
             row.holder.as_ref() == Some(&self.own) && self.abandoned_epoch != Some(row.epoch) && !outdated;
@@ -402,7 +470,7 @@
         } else {
             self.lose(&row);
         }
-        self.seen = Some(ObservedRow { row_version, row, since });
+        self.seen = Some(ObservedRow { era: self.era, row_version, row, since });
         self.next_at = match self.role {
             LeaseRole::Holder => {
                 let renewed = self.valid_from.unwrap_or_default().plus_ms(self.times.renew_ms);
--- a/crates/cowslip-fleet/tests/fleet/lease_cases.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_cases.rs
@@ -5,7 +5,7 @@
     LeaseStep,
 };
 use cowslip_platform::{PlatformError, TableTransaction};
-use cowslip_units::FencingToken;
+use cowslip_units::{FencingToken, StoreEra};
 use rstest::rstest;
 
 use crate::fake_table::FakeTable;
@@ -24,10 +24,10 @@
     for _ in 0..10 {
         match lease.next(at(now)) {
             LeaseStep::Idle(_) => return,
-            LeaseStep::Read => lease.read_answered(&Ok(table.read(LEASE_KEY)), at(now)),
+            LeaseStep::Read => lease.read_answered(&Ok(table.read(LEASE_KEY)), StoreEra::ZERO, at(now)),
             LeaseStep::Commit(transaction) => {
                 let outcome = table.commit(&transaction);
-                lease.commit_answered(&Ok(outcome), at(now));
+                lease.commit_answered(&Ok(outcome), StoreEra::ZERO, at(now));
             }
         }
     }
@@ -87,7 +87,7 @@
     if took_effect {
         table.commit(&renewal);
     }
-    lease.commit_answered(&Err(lost()), at(1_500));
+    lease.commit_answered(&Err(lost()), StoreEra::ZERO, at(1_500));
     settle(&mut lease, &mut table, 1_900);
     let last_send = if took_effect { 1_000 } else { 1_900 };
     assert!(lease.is_leader(at(last_send + 2_999)));
@@ -98,9 +98,9 @@
 fn a_takeover_in_doubt_is_not_counted_before_it_is_read_back() {
     let (mut lease, mut table) = (controller("a"), FakeTable::default());
     lease.next(at(0));
-    lease.read_answered(&Ok(None), at(0));
+    lease.read_answered(&Ok(None), StoreEra::ZERO, at(0));
     let takeover = commit(&mut lease, 0);
-    lease.commit_answered(&Err(lost()), at(500));
+    lease.commit_answered(&Err(lost()), StoreEra::ZERO, at(500));
     assert!(!lease.is_leader(at(500)));
     table.commit(&takeover);
     settle(&mut lease, &mut table, 1_000);
@@ -224,7 +224,7 @@
     let LeaseStep::Commit(renewal) = holder.next(at(LEASE_RENEW_MS)) else { panic!("no renewal") };
     holder.abandon(at(LEASE_RENEW_MS + 10));
     let committed = table.commit(&renewal);
-    holder.commit_answered(&Ok(committed), at(LEASE_RENEW_MS + 20));
+    holder.commit_answered(&Ok(committed), StoreEra::ZERO, at(LEASE_RENEW_MS + 20));
     assert!(!holder.is_leader(at(LEASE_RENEW_MS + 20)));
     settle(&mut holder, &mut table, LEASE_RENEW_MS + 600);
     assert!(!holder.is_leader(at(LEASE_RENEW_MS + 600)), "it took over its own resigned lease");
@@ -313,7 +313,7 @@
     settle(&mut lease, &mut table, 0);
     lease.set_members(5);
     let renewal = commit(&mut lease, 1_000);
-    lease.commit_answered(&Err(lost()), at(1_500));
+    lease.commit_answered(&Err(lost()), StoreEra::ZERO, at(1_500));
     lease.set_members(6);
     table.commit(&renewal);
     settle(&mut lease, &mut table, 1_900);
--- a/crates/cowslip-fleet/tests/fleet/lease_runs.rs
+++ b/crates/cowslip-fleet/tests/fleet/lease_runs.rs
@@ -4,7 +4,7 @@
 
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseRow, LeaseStep};
 use cowslip_platform::{PlatformError, TableTransaction};
-use cowslip_units::{ClockTime, FencingToken};
+use cowslip_units::{ClockTime, FencingToken, StoreEra};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -177,21 +177,23 @@
         let lost = PlatformError::InDoubt("lost".into());
         match step {
             LeaseStep::Idle(_) => {}
-            LeaseStep::Read if fails => self.controllers[at].lease.read_answered(&Err(lost), now),
+            LeaseStep::Read if fails => {
+                self.controllers[at].lease.read_answered(&Err(lost), StoreEra::ZERO, now)
+            }
             LeaseStep::Read => {
                 let row = self.table.read(LEASE_KEY);
-                self.controllers[at].lease.read_answered(&Ok(row), now);
+                self.controllers[at].lease.read_answered(&Ok(row), StoreEra::ZERO, now);
             }
             LeaseStep::Commit(transaction) if fails => {
                 if self.rng.random_ratio(2, 3) {
                     let due = self.now + self.rng.random_range(0..3_000);
                     self.late.push(LateWrite { due, transaction, ledger: None });
                 }
-                self.controllers[at].lease.commit_answered(&Err(lost), now);
+                self.controllers[at].lease.commit_answered(&Err(lost), StoreEra::ZERO, now);
             }
             LeaseStep::Commit(transaction) => {
                 let outcome = self.table.commit(&transaction);
-                self.controllers[at].lease.commit_answered(&Ok(outcome), now);
+                self.controllers[at].lease.commit_answered(&Ok(outcome), StoreEra::ZERO, now);
             }
         }
     }
--- a/crates/cowslip-gateway/src/gateway_metrics.rs
+++ b/crates/cowslip-gateway/src/gateway_metrics.rs
@@ -121,6 +121,8 @@
     pub quarantined_parts: Gauge,
     /// Number of times that this gateway started or stopped leading.
     pub lease_changes: Counter,
+    /// Writes of the lease row that were in flight when the store was restored from an older backup.
+    pub lease_writes_dropped: Counter,
     /// Number of restores of the store from an older backup that this gateway has seen.
     pub era_changes: Counter,
     /// Log lines suppressed by rate limits.
@@ -197,6 +199,7 @@
             part_trials: Counter::default(),
             quarantined_parts: Gauge::default(),
             lease_changes: Counter::default(),
+            lease_writes_dropped: Counter::default(),
             era_changes: Counter::default(),
             lines_suppressed: Counter::default(),
             violations: Counter::default(),
@@ -270,6 +273,11 @@
             self.quarantined_parts.clone(),
         );
         registry.register("lease_changes", "Changes of the leader lease", self.lease_changes.clone());
+        registry.register(
+            "lease_writes_dropped",
+            "Writes of the lease that a return of the store from an older copy made void",
+            self.lease_writes_dropped.clone(),
+        );
         registry.register(
             "store_era_changes",
             "Returns of the store from an older copy",
--- a/crates/cowslip-gateway/src/lease_task.rs
+++ b/crates/cowslip-gateway/src/lease_task.rs
@@ -85,9 +85,6 @@
 /// Margin in ms added to the required gap between the orders of two leaders.
 const ORDER_GAP_MARGIN_MS: u64 = 200;
 
-/// Number of low bits of an epoch that count within a store era; the bits above hold the era.
-const ERA_EPOCH_BITS: u32 = 32;
-
 /// Share of the rate tolerance that a new leader may grant at once when it has no handover with earlier
 /// grants.
 const TOLERANCE_SHARE: f64 = 0.2;
@@ -112,16 +109,13 @@
             return;
         }
         lease.observe_epoch(FencingToken::new(gateway.lock().term));
-        lease.observe_epoch(first_epoch(gateway.store.era()));
+        observe_era(&gateway, &mut lease);
         if let Some(received) = &gateway.lock().received_handover {
             lease.observe_release(FencingToken::new(received.handover.term));
         }
         if should_probe(&gateway, now) {
-            let result = gateway.store.read(LEASE_KEY).await;
-            gateway.metrics.count_store_call("lease_read", result.is_err());
-            lease.read_answered(&result, gateway.now());
-            log_lease_read(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
-            record_probe(&gateway, result.is_ok(), now);
+            let answered = read_lease(&gateway, &mut lease).await;
+            record_probe(&gateway, answered, now);
             continue;
         }
         if can_skip_lease_read(&gateway, &lease, now) {
@@ -139,26 +133,46 @@
                 gateway.clock.sleep_ms(until.since_ms(now).clamp(1, POLL_MS)).await;
             }
             LeaseStep::Read => {
-                let result = gateway.store.read(LEASE_KEY).await;
-                gateway.metrics.count_store_call("lease_read", result.is_err());
-                lease.read_answered(&result, gateway.now());
-                log_lease_read(&gateway, &lease, result.as_ref().ok().and_then(|row| row.as_ref()));
-            }
-            LeaseStep::Commit(transaction) => {
-                let result = gateway.store.commit(&transaction).await;
-                gateway.metrics.count_store_call("lease_write", result.is_err());
-                lease.commit_answered(&result, gateway.now());
-                log_lease_write(&gateway, &lease, &transaction, &result);
+                read_lease(&gateway, &mut lease).await;
             }
+            LeaseStep::Commit(transaction) => write_lease(&gateway, &mut lease, &transaction).await,
         }
         update_leader(&gateway, &lease);
     }
 }
 
-/// First epoch of a store era. It is above all epochs of earlier eras: the last ones issued may have been
-/// lost with the store's rows, and no running process may have a record of them.
-const fn first_epoch(era: StoreEra) -> FencingToken {
-    FencingToken::new(era.get() << ERA_EPOCH_BITS)
+/// Reads the lease row; returns whether the store answered.
+async fn read_lease(gateway: &Gateway, lease: &mut LeaderLease) -> bool {
+    let result = gateway.store.read(LEASE_KEY).await;
+    gateway.metrics.count_store_call("lease_read", result.is_err());
+    observe_era(gateway, lease);
+    lease.read_answered(&result, gateway.store.era(), gateway.now());
+    log_lease_read(gateway, lease, result.as_ref().ok().and_then(|row| row.as_ref()));
+    result.is_ok()
+}
+
+async fn write_lease(gateway: &Gateway, lease: &mut LeaderLease, transaction: &TableTransaction) {
+    let result = gateway.store.commit(transaction).await;
+    gateway.metrics.count_store_call("lease_write", result.is_err());
+    observe_era(gateway, lease);
+    lease.commit_answered(&result, gateway.store.era(), gateway.now());
+    log_lease_write(gateway, lease, transaction, &result);
+}
+
+/// Tells the lease of the store's era, and records what a later one ends.
+fn observe_era(gateway: &Gateway, lease: &mut LeaderLease) {
+    let era = gateway.store.era();
+    if era <= lease.era() {
+        return;
+    }
+    let pending_epoch = lease.pending_epoch();
+    info!(gateway.logger, "lease_era"; "era" => era.get(), "previous_era" => lease.era().get(),
+        "held_epoch" => lease.epoch(gateway.now()).map(FencingToken::get),
+        "dropped_epoch" => pending_epoch.map(FencingToken::get));
+    if pending_epoch.is_some() {
+        gateway.metrics.lease_writes_dropped.inc();
+    }
+    lease.observe_era(era);
 }
 
 fn log_lease_read(gateway: &Gateway, lease: &LeaderLease, row: Option<&RowValue>) {
@@ -305,18 +319,6 @@
     state.received_handover = Some(received);
 }
 
-/// Time from which a new leader may send orders. An engine must not get orders from two VMs within the
-/// required gap. A restarted VM that held the lease long enough before is the only one that can have sent
-/// any.
-fn orders_from(settings: &GatewaySettings, lease: &LeaderLease, now: ClockTime) -> ClockTime {
-    let gap_ms = order_gap_ms(settings);
-    let sole_sender = lease.same_vm_held_ms().is_some_and(|held_ms| held_ms >= ORDER_VALIDITY_MS + gap_ms);
-    match lease.previous_holder_until(ORDER_VALIDITY_MS, now) {
-        Some(until) if !sole_sender => until.plus_ms(gap_ms).max(now),
-        _ => now,
-    }
-}
-
 /// Starts or ends the leader role according to the lease.
 fn apply_lease(gateway: &Gateway, lease: &mut LeaderLease, now: ClockTime) {
     let epoch = lease.epoch(now);
@@ -324,8 +326,8 @@
     match (epoch, &state.lead) {
         (Some(fence), None) => {
             let earlier = lease.previous_holder_until(LEASE_MS, now);
-            let orders_from = orders_from(&gateway.settings, lease, now);
             let settings = &gateway.settings;
+            let orders_from = lease.acts_from(ORDER_VALIDITY_MS, order_gap_ms(settings), now);
             // Without a bound no request takes tokens.
             let bound = settings.rate_bound.unwrap_or(RateBound { window_ms: 1, tolerance: 0 });
             let initial_grant = (bound.tolerance as f64 * TOLERANCE_SHARE) as u64;
--- a/crates/cowslip-gateway/tests/takeover.rs
+++ b/crates/cowslip-gateway/tests/takeover.rs
@@ -4,7 +4,7 @@
 use cowslip_entry::{candidate_interval_ms, report_interval_ms, silent_after_ms};
 use cowslip_fleet::{LEASE_KEY, LeaderLease, LeaseHolder, LeaseStep, LeaseTimes};
 use cowslip_platform::{RowValue, TableTransaction, TransactionOutcome};
-use cowslip_units::ClockTime;
+use cowslip_units::{ClockTime, StoreEra};
 
 const MEMBERS: usize = 295;
 /// VMs of the fleet that may lead.
@@ -51,10 +51,10 @@
     for _ in 0..4 {
         match lease.next(now) {
             LeaseStep::Idle(_) => return,
-            LeaseStep::Read => lease.read_answered(&Ok(table.row.clone()), now),
+            LeaseStep::Read => lease.read_answered(&Ok(table.row.clone()), StoreEra::ZERO, now),
             LeaseStep::Commit(transaction) => {
                 let outcome = table.commit(&transaction);
-                lease.commit_answered(&Ok(outcome), now);
+                lease.commit_answered(&Ok(outcome), StoreEra::ZERO, now);
             }
         }
     }
