fleet: the lease row of an older copy doesn't name the last holder

Cause: a new leader waits for the gap after its predecessor's orders, unless the row says that the lease was released, or that an earlier process of its own VM held it. The row of an older copy says so of a holder before the last one: the last one's takeover is lost.

Change: both hold only when no epoch lies between that of the row and the one that is taken.

--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -27,6 +27,14 @@
     since: ClockTime,
 }
 
+impl ObservedRow {
+    /// True when no epoch lies between that of the row and `epoch`. A row of an older backup of the store may
+    /// lack the last holders.
+    fn is_last_before(&self, epoch: FencingToken) -> bool {
+        self.row.epoch.next() == epoch
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 enum LeaseRole {
     Candidate,
@@ -368,8 +376,11 @@
         // A retry must write the same row, so that it does not matter which of the two writes takes effect.
         let repeated = self.sent.as_ref().filter(again).map(|sent| sent.row.members);
         let members = repeated.unwrap_or(if is_takeover { seen.row.members } else { self.members });
-        let earlier_ms =
-            if is_takeover { self.same_vm_lease_ms(seen).unwrap_or_default() } else { seen.row.earlier_ms };
+        let earlier_ms = if is_takeover {
+            self.same_vm_lease_ms(seen, epoch).unwrap_or_default()
+        } else {
+            seen.row.earlier_ms
+        };
         let row = LeaseRow { holder, epoch, renewals, members, earlier_ms };
         let Ok(value) = serde_json::to_string(&row) else {
             return LeaseStep::Idle(self.next_at);
@@ -463,7 +474,7 @@
         let own =
             row.holder.as_ref() == Some(&self.own) && self.abandoned_epoch != Some(row.epoch) && !outdated;
         if own && self.role == LeaseRole::Candidate {
-            self.record_previous_holder();
+            self.record_previous_holder(row.epoch);
         }
         if own {
             self.hold(&row);
@@ -481,20 +492,21 @@
         };
     }
 
-    /// Records the previous holder when this process takes over.
-    fn record_previous_holder(&mut self) {
+    /// Records the previous holder when this process takes over in `epoch`.
+    fn record_previous_holder(&mut self, epoch: FencingToken) {
         let Some(previous) = &self.seen else { return };
-        let released = previous.row.holder.is_none() || self.released_epoch == Some(previous.row.epoch);
-        let previous_holder = (previous.since, released);
-        let held_ms = self.same_vm_lease_ms(previous);
+        let is_released = previous.row.holder.is_none() || self.released_epoch == Some(previous.row.epoch);
+        let previous_holder = (previous.since, is_released && previous.is_last_before(epoch));
+        let held_ms = self.same_vm_lease_ms(previous, epoch);
         self.previous_holder = Some(previous_holder);
         self.same_vm_held_ms = held_ms;
     }
 
-    /// Least time in ms for which processes of this VM have held the lease of a row; `None` when another VM
-    /// holds it.
-    fn same_vm_lease_ms(&self, seen: &ObservedRow) -> Option<u64> {
-        let own = self.replaces_predecessor && seen.row.is_held_by(&self.own.vm);
+    /// Least time in ms for which processes of this VM have held the lease of a row that is taken over in
+    /// `epoch`; `None` when another VM holds it, or may have held it since.
+    fn same_vm_lease_ms(&self, seen: &ObservedRow, epoch: FencingToken) -> Option<u64> {
+        let is_own = self.replaces_predecessor && seen.row.is_held_by(&self.own.vm);
+        let own = is_own && seen.is_last_before(epoch);
         own.then(|| seen.row.earlier_ms + seen.row.renewals * self.times.renew_ms)
     }
 
--- a/crates/cowslip-gateway/tests/restored_store/cases.rs
+++ b/crates/cowslip-gateway/tests/restored_store/cases.rs
@@ -9,6 +9,9 @@
 
 const TIMES: LeaseTimes = LeaseTimes::new(3_000, 700, 150);
 const TAKEOVER_MS: u64 = TIMES.takeover_ms;
+/// Time in ms for which a holder acts after a renewal, and least time between the acts of two holders.
+const ACTS_MS: u64 = 1_500;
+const GAP_MS: u64 = 3_200;
 
 fn at(millis: u64) -> ClockTime {
     ClockTime::new(millis)
@@ -165,3 +168,30 @@
     assert_eq!(holder.is_released(), stops);
     assert_eq!(row(&store).epoch, FencingToken::new(1));
 }
+
+/// Guards against orders within the required gap after the last holder's, when the row of an older backup names an
+/// earlier one: one that released the lease, or an earlier process of the same VM.
+#[rstest]
+#[case::released(true)]
+#[case::own_vm(false)]
+fn the_row_of_a_backup_does_not_name_the_last_holder(#[case] is_released: bool) {
+    let (mut first, mut last) = (lease("a", 1), lease("b", 1));
+    let mut store = RestoredStore::default();
+    for millis in (0..=8_000).step_by(700) {
+        settle(&mut first, &mut store, millis);
+    }
+    if is_released {
+        first.release(at(8_000));
+        settle(&mut first, &mut store, 8_000);
+    }
+    settle(&mut last, &mut store, 8_100);
+    settle(&mut last, &mut store, 8_100 + TAKEOVER_MS);
+    assert!(last.is_leader(at(8_100 + TAKEOVER_MS)));
+    store.restore(12_000, 3_950, 0);
+    let mut next = lease("a", 2);
+    settle(&mut next, &mut store, 12_000);
+    settle(&mut next, &mut store, 12_000 + TAKEOVER_MS);
+    assert!(next.is_leader(at(12_000 + TAKEOVER_MS)));
+    let acts_from = next.acts_from(ACTS_MS, GAP_MS, at(12_000 + TAKEOVER_MS));
+    assert_eq!(acts_from, at(12_000 + ACTS_MS + GAP_MS));
+}
--- a/crates/cowslip-gateway/tests/restored_store/runs.rs
+++ b/crates/cowslip-gateway/tests/restored_store/runs.rs
@@ -21,7 +21,9 @@
 const DEFAULT_SEEDS: u64 = 60;
 /// Time in ms after a renewal in which a leader sends orders.
 const ORDER_VALIDITY_MS: u64 = 1_500;
-/// Least time in ms that a new leader leaves between its orders and those of the last one.
+/// Least time in ms between the orders of two leaders.
+const ORDER_GAP_MS: u64 = 3_000;
+/// The same with the margin that a new leader adds.
 const ORDER_WAIT_MS: u64 = 3_200;
 /// Length in ms of the last phase, which has no disruption: suspended gateways wake within 7 s, and a lease and the
 /// gap between two leaders pass.
@@ -354,8 +356,13 @@
         if let Some(other) = others.find(|known| known.fence == order.fence) {
             return Err(format!("two holders of one fencing token: {other:?} and {order:?}"));
         }
-        if let Some(last) = self.orders.last().filter(|last| last.fence > order.fence) {
-            return Err(format!("a lower fencing token: {last:?} and {order:?}"));
+        if let Some(last) = self.orders.last() {
+            if last.fence > order.fence {
+                return Err(format!("a lower fencing token: {last:?} and {order:?}"));
+            }
+            if last.gateway != at && order.at - last.at < ORDER_GAP_MS {
+                return Err(format!("orders within the required gap: {last:?} and {order:?}"));
+            }
         }
         self.orders.push(order);
         Ok(())
@@ -406,8 +413,8 @@
     std::env::var("COWSLIP_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SEEDS)
 }
 
-/// Guards against two holders of one fencing token, and a lower token after a higher one, when the store comes back
-/// from an older backup.
+/// Guards against two holders of one fencing token, a lower token after a higher one, and orders of two leaders
+/// within the required gap when the store comes back from an older backup.
 #[rstest]
 #[case::shipped(Policy::Shipped)]
 #[case::lease_alone(Policy::ClientIgnoresEra)]
