fleet: a leader that an older copy names sends orders as soon as before

Change: a row that names this process's own lease, first read in the new era while that lease was valid, is that of the last holder. Nobody else can have led: not in the earlier era, where the lease was valid, nor in the new one, whose row shows it.

--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -25,13 +25,15 @@
     row: LeaseRow,
     /// When the first answer with this version arrived; the version was written before that.
     since: ClockTime,
+    /// True when it is this process's own row in a backup of the store, read while the lease was still valid.
+    is_continued: bool,
 }
 
 impl ObservedRow {
-    /// True when no epoch lies between that of the row and `epoch`. A row of an older backup of the store may
-    /// lack the last holders.
-    fn is_last_before(&self, epoch: FencingToken) -> bool {
-        self.row.epoch.next() == epoch
+    /// True when nobody can have held the lease between the holder of the row and that of `epoch`. A row of an
+    /// older backup of the store may lack the last holders.
+    fn names_last_holder(&self, epoch: FencingToken) -> bool {
+        self.is_continued || self.row.epoch.next() == epoch
     }
 }
 
@@ -471,6 +473,7 @@
         let since = same.map_or(now, |seen| seen.since).min(reported_at.unwrap_or(now));
         let outdated = self.is_outdated(&row);
         self.highest_epoch = self.highest_epoch.max(row.epoch);
+        let is_continued = same.map_or_else(|| self.is_continued(&row, now), |seen| seen.is_continued);
         let own =
             row.holder.as_ref() == Some(&self.own) && self.abandoned_epoch != Some(row.epoch) && !outdated;
         if own && self.role == LeaseRole::Candidate {
@@ -481,7 +484,7 @@
         } else {
             self.lose(&row);
         }
-        self.seen = Some(ObservedRow { era: self.era, row_version, row, since });
+        self.seen = Some(ObservedRow { era: self.era, row_version, row, since, is_continued });
         self.next_at = match self.role {
             LeaseRole::Holder => {
                 let renewed = self.valid_from.unwrap_or_default().plus_ms(self.times.renew_ms);
@@ -492,11 +495,17 @@
         };
     }
 
+    /// True when `row`, the first one read in an era, is that of the lease which this process still holds.
+    fn is_continued(&self, row: &LeaseRow, now: ClockTime) -> bool {
+        let held = self.seen.as_ref().filter(|seen| seen.era < self.era && self.is_leader(now));
+        held.is_some_and(|held| row.holder.as_ref() == Some(&self.own) && row.epoch == held.row.epoch)
+    }
+
     /// Records the previous holder when this process takes over in `epoch`.
     fn record_previous_holder(&mut self, epoch: FencingToken) {
         let Some(previous) = &self.seen else { return };
         let is_released = previous.row.holder.is_none() || self.released_epoch == Some(previous.row.epoch);
-        let previous_holder = (previous.since, is_released && previous.is_last_before(epoch));
+        let previous_holder = (previous.since, is_released && previous.names_last_holder(epoch));
         let held_ms = self.same_vm_lease_ms(previous, epoch);
         self.previous_holder = Some(previous_holder);
         self.same_vm_held_ms = held_ms;
@@ -506,7 +515,7 @@
     /// `epoch`; `None` when another VM holds it, or may have held it since.
     fn same_vm_lease_ms(&self, seen: &ObservedRow, epoch: FencingToken) -> Option<u64> {
         let is_own = self.replaces_predecessor && seen.row.is_held_by(&self.own.vm);
-        let own = is_own && seen.is_last_before(epoch);
+        let own = is_own && seen.names_last_holder(epoch);
         own.then(|| seen.row.earlier_ms + seen.row.renewals * self.times.renew_ms)
     }
 
--- a/crates/cowslip-gateway/tests/restored_store/cases.rs
+++ b/crates/cowslip-gateway/tests/restored_store/cases.rs
@@ -195,3 +195,32 @@
     let acts_from = next.acts_from(ACTS_MS, GAP_MS, at(12_000 + TAKEOVER_MS));
     assert_eq!(acts_from, at(12_000 + ACTS_MS + GAP_MS));
 }
+
+/// Guards against an additional wait of a leader that the backup names, while nobody else can have led.
+#[rstest]
+#[case::same_lease(1_000, 0)]
+#[case::earlier_lease(13_000, ACTS_MS + GAP_MS - TAKEOVER_MS)]
+fn a_leader_that_the_backup_names_waits_no_longer_than_a_lease(#[case] age_ms: u64, #[case] wait_ms: u64) {
+    let mut holder = lease("a", 1);
+    let mut store = RestoredStore::default();
+    for millis in (0..=7_000).step_by(700) {
+        settle(&mut holder, &mut store, millis);
+    }
+    let (mut other, mut now) = (lease("b", 1), 7_000);
+    for _ in 0..2 {
+        settle(&mut other, &mut store, now);
+        now += TAKEOVER_MS;
+        settle(&mut other, &mut store, now);
+        std::mem::swap(&mut holder, &mut other);
+    }
+    for millis in (now..=now + 7_000).step_by(700) {
+        settle(&mut holder, &mut store, millis);
+    }
+    let restored_at = now + 7_000;
+    store.restore(restored_at, age_ms, 0);
+    settle(&mut holder, &mut store, restored_at + 700);
+    let taken_at = restored_at + 700 + TAKEOVER_MS;
+    settle(&mut holder, &mut store, taken_at);
+    assert!(holder.is_leader(at(taken_at)));
+    assert_eq!(holder.acts_from(ACTS_MS, GAP_MS, at(taken_at)), at(taken_at + wait_ms));
+}
