gateway: usage rows are judged by the era in which they were read

Found by reading, as a relative of the fault of the lease; no run has shown it and no test of its own fails before: `usage_loop` asked for the era before it read the rows. Rows that are the first answers of a later era counted as complete, so that windows whose rows the store has lost could be closed and reported once more. The ledger's own rule stands in `windows_before_a_restore_are_not_closed`; only the era that it is given changes: that after the read.

The rows of the numbers of servers and of the quarantine take the era before the read too; there it only leads to one more read, so they stay.

--- a/crates/cowslip-gateway/src/duty_usage.rs
+++ b/crates/cowslip-gateway/src/duty_usage.rs
@@ -97,6 +97,8 @@
     match step {
         LedgerStep::ReadRows => {
             let rows = read_usage(gateway).await;
+            // The rows may be the first ones of a later era.
+            let era = era.observe(gateway.store.era(), gateway.day());
             let found = rows.as_ref().map(|rows| (rows.closed.len(), rows.open.len()));
             let context = StepContext { era, may_order: false, now: gateway.now() };
             let mut state = gateway.lock();
