gateway, fleet: state of a gateway and calls of the lease in modules of their own

`Gateway` moves to `gateway.rs`; waiting requests, calls in flight and what the leader tells of loads become `WaitingRequests`, `RunningCalls` and `LoadOutlook`, each with its own methods. The store calls of the lease task with their log lines move to `lease_calls.rs`, `LeaseStep` and `ObservedRow` out of `leader_lease.rs`.

--- a/crates/cowslip-fleet/src/leader_lease.rs
+++ b/crates/cowslip-fleet/src/leader_lease.rs
@@ -3,39 +3,8 @@
 use cowslip_platform::{PlatformError, RowValue, TableTransaction, TransactionOutcome};
 use cowslip_units::{ClockTime, FencingToken, StoreEra};
 
-use crate::{LEASE_EPOCH_PREFIX, LEASE_KEY, LeaseHolder, LeaseRow, LeaseTimes, epoch_key};
-
-/// Next step of a controller for the lease.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LeaseStep {
-    /// Do nothing until this time.
-    Idle(ClockTime),
-    /// Read the row [`LEASE_KEY`] and pass the result to [`LeaderLease::read_answered`].
-    Read,
-    /// Commit this and pass the result to [`LeaderLease::commit_answered`].
-    Commit(TableTransaction),
-}
-
-/// The lease row as last read.
-#[derive(Clone, Debug, PartialEq)]
-struct ObservedRow {
-    /// Era of the store in which it was read.
-    era: StoreEra,
-    row_version: Option<u64>,
-    row: LeaseRow,
-    /// When the first answer with this version arrived; the version was written before that.
-    since: ClockTime,
-    /// True when it is this process's own row in a backup of the store, read while the lease was still valid.
-    is_continued: bool,
-}
-
-impl ObservedRow {
-    /// True when nobody can have held the lease between the holder of the row and that of `epoch`. A row of an
-    /// older backup of the store may lack the last holders.
-    fn names_last_holder(&self, epoch: FencingToken) -> bool {
-        self.is_continued || self.row.epoch.next() == epoch
-    }
-}
+use crate::observed_row::ObservedRow;
+use crate::{LEASE_EPOCH_PREFIX, LEASE_KEY, LeaseHolder, LeaseRow, LeaseStep, LeaseTimes, epoch_key};
 
 #[derive(Clone, Debug, PartialEq)]
 enum LeaseRole {
--- a/crates/cowslip-gateway/src/admission_turns.rs
+++ b/crates/cowslip-gateway/src/admission_turns.rs
@@ -15,7 +15,8 @@
 use tokio::sync::oneshot;
 
 use crate::call_guard::CallGuard;
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 use crate::target_look::TargetLook;
 
 /// How a request leaves the queue.
--- a/crates/cowslip-gateway/src/call_guard.rs
+++ b/crates/cowslip-gateway/src/call_guard.rs
@@ -7,7 +7,8 @@
 use tokio::runtime::Handle;
 
 use crate::admission_turns::dispatch_at;
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 
 /// Keeps a call to an upstream counted as running until dropped. Must not be dropped while the state is locked.
 #[derive(Debug)]
@@ -60,7 +61,7 @@
             known.work.own_tokens = known.work.own_tokens.saturating_sub(self.tokens);
         }
         let has_queued = !state.admission.queue.is_empty();
-        let has_unqueued = state.waiting.iter().any(|waiting| !waiting.is_queued);
+        let has_unqueued = state.waiting.all().iter().any(|waiting| !waiting.is_queued);
         drop(state);
         if has_queued {
             dispatch_later(&self.gateway, &self.upstream);
--- a/crates/cowslip-gateway/src/caller_listener.rs
+++ b/crates/cowslip-gateway/src/caller_listener.rs
@@ -11,7 +11,7 @@
 use slog::warn;
 use tokio::net::TcpStream;
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 
 /// Least size in bytes of the buffers of a connection.
 const MIN_BUFFER_BYTES: usize = 16_384;
--- a/crates/cowslip-gateway/src/caller_server.rs
+++ b/crates/cowslip-gateway/src/caller_server.rs
@@ -21,8 +21,8 @@
 use crate::caller_listener::{PlainHeads, admit_connection, connection_server};
 use crate::duty_status::status_page;
 use crate::explain_page::{EXPLAIN_PATH, explain_response};
+use crate::gateway::Gateway;
 use crate::gateway_metrics::ClassLabels;
-use crate::gateway_state::Gateway;
 use crate::request_flow::serve_request;
 use crate::request_rejection::RequestRejection;
 use crate::response_body::ResponseBody;
@@ -203,7 +203,7 @@
     let state = gateway.lock();
     let age_ms = state.view.age_ms(now).map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
     gateway.metrics.view_age_ms.set(age_ms);
-    gateway.metrics.waiting.set(i64::try_from(state.waiting.len()).unwrap_or(i64::MAX));
+    gateway.metrics.waiting.set(i64::try_from(state.waiting.all().len()).unwrap_or(i64::MAX));
     for (class, count) in state.admission.queue.count_by_class().into_iter().enumerate() {
         let gauge = gateway.metrics.queued.get_or_create(&ClassLabels::new(class)).clone();
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/cowslip-gateway/src/capacity_record.rs
+++ b/crates/cowslip-gateway/src/capacity_record.rs
@@ -5,7 +5,8 @@
 use cowslip_units::{ClockTime, UpstreamId};
 use http::HeaderMap;
 
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 use crate::request_context::{AdmittedRequest, RequestContext};
 
 /// Records a rejection by an upstream that reports itself as full.
--- a/crates/cowslip-gateway/src/crash_exchange.rs
+++ b/crates/cowslip-gateway/src/crash_exchange.rs
@@ -12,8 +12,9 @@
 use cowslip_units::ClockTime;
 use slog::warn;
 
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway_state::GatewayState;
 use crate::part_guard::notify_crash_change;
 use crate::peer_clients::PeerClients;
 
--- a/crates/cowslip-gateway/src/dispatch.rs
+++ b/crates/cowslip-gateway/src/dispatch.rs
@@ -12,8 +12,8 @@
 
 use crate::call_guard::CallGuard;
 use crate::choice_inputs::ChoiceInputs;
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::Gateway;
 use crate::outcome_record::{log_answer, log_outcome, record_outcome};
 use crate::part_guard::{TrialGuard, record_break, record_survival, wait_until_quarantined};
 use crate::plain_call::plain_call;
--- a/crates/cowslip-gateway/src/duty_calls.rs
+++ b/crates/cowslip-gateway/src/duty_calls.rs
@@ -16,8 +16,8 @@
 use slog::{info, warn};
 use tokio::time::timeout;
 
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::Gateway;
 use crate::plan_task::order_deadline;
 use crate::upstream_pool::SendFault;
 
--- a/crates/cowslip-gateway/src/duty_counts.rs
+++ b/crates/cowslip-gateway/src/duty_counts.rs
@@ -6,7 +6,7 @@
 use cowslip_entry::{SendTicket, text_hash};
 use cowslip_units::{DayTime, TeamId};
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext};
 
 impl Gateway {
--- a/crates/cowslip-gateway/src/duty_rows.rs
+++ b/crates/cowslip-gateway/src/duty_rows.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use slog::warn;
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 
 /// Start of the keys of closed windows; the window's number follows.
 const CLOSED_PREFIX: &str = "usage/closed/";
--- a/crates/cowslip-gateway/src/duty_scaling.rs
+++ b/crates/cowslip-gateway/src/duty_scaling.rs
@@ -15,7 +15,7 @@
 
 use crate::duty_calls::DutyPermit;
 use crate::duty_status::{DutyDecision, record_decision};
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::plan_task::order_deadline;
 
 /// Key of the row with the numbers.
--- a/crates/cowslip-gateway/src/duty_status.rs
+++ b/crates/cowslip-gateway/src/duty_status.rs
@@ -4,7 +4,8 @@
 use cowslip_units::ClockTime;
 use serde_json::{Value, json};
 
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 
 /// A decision about a subject of singleton calls.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/cowslip-gateway/src/duty_usage.rs
+++ b/crates/cowslip-gateway/src/duty_usage.rs
@@ -11,8 +11,9 @@
 use crate::duty_calls::DutyPermit;
 use crate::duty_rows::{mark_closed, read_usage, write_checkpoint, write_closed};
 use crate::duty_status::{DutyDecision, record_decision};
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway_state::GatewayState;
 use crate::plan_task::order_deadline;
 
 /// Interval in ms between two looks at the ledger.
--- a/crates/cowslip-gateway/src/event_source.rs
+++ b/crates/cowslip-gateway/src/event_source.rs
@@ -15,7 +15,7 @@
 use crate::call_guard::CallGuard;
 use crate::capacity_record::record_rejection;
 use crate::event_check::{EventCheck, may_hold_events};
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::plain_call::{
     HeadCheck, check_and_record_head, fault_outcome, return_refused_connection, send_target,
 };
--- a/crates/cowslip-gateway/src/explain_page.rs
+++ b/crates/cowslip-gateway/src/explain_page.rs
@@ -19,7 +19,7 @@
 use smol_str::SmolStr;
 
 use crate::dispatch::request_need;
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::request_context::{AdmittedRequest, CallerTeam, RequestContext, admit_caller};
 use crate::request_flow::{is_bulk, route_kind_name};
 use crate::request_rejection::RequestRejection;
@@ -160,7 +160,7 @@
         "leader_answer_age_ms": state.last_leader_contact.map(|at| now.since_ms(at)),
         "leads": state.lead.is_some(),
         "members": state.member_count(),
-        "waiting": state.waiting.len(),
+        "waiting": state.waiting.all().len(),
         "quarantined_parts": state.quarantined_parts.len(),
         "evacuated": state.evacuated.iter().map(|domain| domain.as_str()).collect::<Vec<_>>(),
     })
@@ -272,7 +272,7 @@
         UpstreamPick::Send(upstream) => json!({ "kind": "send", "upstream": upstream.as_str() }),
         UpstreamPick::Wait(cause) => {
             let limit = WaitLimit::new(&admitted.route, None, now);
-            let load_ms = need.model.as_ref().and_then(|need| state.load_eta_ms(&need.model, false, now));
+            let load_ms = need.model.as_ref().and_then(|need| state.loads.eta_ms(&need.model, false, now));
             json!({
                 "kind": "wait",
                 "cause": format!("{cause:?}"),
--- a/crates/cowslip-gateway/src/gateway_process.rs
+++ b/crates/cowslip-gateway/src/gateway_process.rs
@@ -20,7 +20,7 @@
 use crate::crash_exchange::share_crashes;
 use crate::duty_scaling::scaling_loop;
 use crate::duty_usage::usage_loop;
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::leader_exchange::{PeerServer, report_loop};
 use crate::lease_task::lease_loop;
 use crate::part_guard::expire_crashes;
--- a/crates/cowslip-gateway/src/leader_exchange.rs
+++ b/crates/cowslip-gateway/src/leader_exchange.rs
@@ -17,8 +17,9 @@
 use tokio::time::timeout;
 
 use crate::crash_exchange::merge_crashes;
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway_state::GatewayState;
 use crate::lease_task::{SMALL_FLEET, accept_handover, resign_if_store_unreachable};
 use crate::peer_clients::PeerClients;
 use crate::plan_record::{ReportKind, WorkTimer, record_answer};
@@ -334,8 +335,8 @@
     state.upstreams.apply_places(answer.places, &answer.arrivals, now);
     set_standalone_shares(&mut state, &gateway.settings.name, &answer.rooms, now);
     apply_crashes(gateway, &mut state, &crashes, &answer.crashes, answer.crash_cursor);
-    state.set_pending_loads(answer.arrivals, now);
-    state.set_load_delays(answer.delays, now);
+    state.loads.set_pending(answer.arrivals, now);
+    state.loads.set_delays(answer.delays, now);
     for tokens in &mut state.tokens {
         tokens.quota.record_answer(answer.term);
     }
--- a/crates/cowslip-gateway/src/lib.rs
+++ b/crates/cowslip-gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! `cowslip-entry`.
 //!
 //! - process start and shutdown: [`run_gateway`]
-//! - shared state: `gateway_state`, `standalone_share`
+//! - shared state: `gateway`, `gateway_state`, `load_outlook`, `running_calls`, `waiting_requests`, `standalone_share`
 //! - connections of callers: `caller_listener`, `caller_server`, `caller_body`
 //! - request path: `request_flow`, `request_context`, `dispatch`, `request_progress`,
 //!   `upstream_choice`, `retry_choice`, `send_outcome`, `outcome_record`, `call_guard`, `plain_call`, `slow_call`,
@@ -14,7 +14,7 @@
 //! - responses: `response_body`, `request_rejection`
 //! - upstream connections: `upstream_pool`, `guarded_stream`, `upstream_request`, `upstream_notice`
 //! - store and other gateways: `store_watch`, `table_rows`, `view_copy`, `leader_exchange`, `report_builder`, `peer_clients`
-//! - leader role: `lease_task`, `leader_state`, `plan_task`, `plan_record`
+//! - leader role: `lease_task`, `lease_calls`, `leader_state`, `plan_task`, `plan_record`
 //! - singleton calls to the cloud API: `duty_calls`, `duty_usage`, `duty_scaling`, `duty_rows`, `duty_counts`, `duty_status`
 //! - logs, metrics and the explanation of a request: `gateway_log`, `gateway_metrics`, `explain_page`
 
@@ -39,6 +39,7 @@
 mod event_check;
 mod event_source;
 mod explain_page;
+mod gateway;
 mod gateway_log;
 mod gateway_metrics;
 mod gateway_process;
@@ -46,7 +47,9 @@
 mod guarded_stream;
 mod leader_exchange;
 mod leader_state;
+mod lease_calls;
 mod lease_task;
+mod load_outlook;
 mod outcome_record;
 mod part_guard;
 mod peer_clients;
@@ -65,6 +68,7 @@
 mod response_body;
 mod resume_permit;
 mod retry_choice;
+mod running_calls;
 mod send_outcome;
 mod slow_call;
 mod standalone_share;
@@ -79,6 +83,7 @@
 mod upstream_pool;
 mod upstream_request;
 mod view_copy;
+mod waiting_requests;
 
 pub use cowslip_runtime::SharedLimiter;
 pub use gateway_log::{LINES_PER_S, RequestLineLimiter, gateway_logger};
--- a/crates/cowslip-gateway/src/outcome_record.rs
+++ b/crates/cowslip-gateway/src/outcome_record.rs
@@ -4,8 +4,8 @@
 use http::StatusCode;
 use slog::{info, warn};
 
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext};
 use crate::request_flow::route_kind_name;
 use crate::request_progress::RequestProgress;
--- a/crates/cowslip-gateway/src/part_guard.rs
+++ b/crates/cowslip-gateway/src/part_guard.rs
@@ -8,7 +8,8 @@
 use cowslip_units::{ClockTime, ErrorKind, PartId, UpstreamId};
 use slog::{info, warn};
 
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 use crate::outcome_record::{last_part_text, parts_text};
 use crate::plain_call::send_target;
 use crate::request_context::RequestContext;
--- a/crates/cowslip-gateway/src/peer_clients.rs
+++ b/crates/cowslip-gateway/src/peer_clients.rs
@@ -6,7 +6,7 @@
 use jsonrpsee::http_client::HttpClient;
 use slog::warn;
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 
 /// Timeout in ms of a call to another gateway, and its increase per member of the fleet: a leader may have
 /// reports of all members queued.
--- a/crates/cowslip-gateway/src/plain_call.rs
+++ b/crates/cowslip-gateway/src/plain_call.rs
@@ -18,7 +18,7 @@
 use crate::call_guard::CallGuard;
 use crate::capacity_record::{record_begin, record_rejection};
 use crate::duty_counts::SendCount;
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::request_context::{AdmittedRequest, RequestContext, may_send};
 use crate::response_body::ResponseBody;
 use crate::send_outcome::SendOutcome;
--- a/crates/cowslip-gateway/src/plan_record.rs
+++ b/crates/cowslip-gateway/src/plan_record.rs
@@ -8,8 +8,8 @@
 use cowslip_units::ClockTime;
 use slog::info;
 
+use crate::gateway::Gateway;
 use crate::gateway_metrics::{CauseLabels, OutcomeLabels, TierLabels};
-use crate::gateway_state::Gateway;
 
 /// Interval in ms between two log lines about the leader's work.
 const LINE_INTERVAL_MS: u64 = 1_000;
--- a/crates/cowslip-gateway/src/plan_task.rs
+++ b/crates/cowslip-gateway/src/plan_task.rs
@@ -14,8 +14,8 @@
 use slog::{info, warn};
 use tokio::time::timeout;
 
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::Gateway;
 use crate::lease_task::ORDER_VALIDITY_MS;
 use crate::plan_record::{WorkTimer, record_plan};
 use crate::upstream_notice::record_notice;
--- a/crates/cowslip-gateway/src/quarantine_store.rs
+++ b/crates/cowslip-gateway/src/quarantine_store.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 
 use crate::crash_exchange::merge_crashes;
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 
 /// Key of the row.
 const QUARANTINE_KEY: &str = "quarantine";
--- a/crates/cowslip-gateway/src/queue_choice.rs
+++ b/crates/cowslip-gateway/src/queue_choice.rs
@@ -9,7 +9,7 @@
 
 use crate::admission_turns::take_free_place;
 use crate::call_guard::CallGuard;
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::queue_place::{QueuePlace, QueueStanding};
 use crate::request_context::{AdmittedRequest, RequestContext};
 use crate::request_progress::RequestProgress;
--- a/crates/cowslip-gateway/src/queue_place.rs
+++ b/crates/cowslip-gateway/src/queue_place.rs
@@ -10,8 +10,8 @@
 
 use crate::admission_turns::{QueueTurn, dispatch_for};
 use crate::call_guard::CallGuard;
+use crate::gateway::Gateway;
 use crate::gateway_metrics::ClassLabels;
-use crate::gateway_state::Gateway;
 
 /// Where a request in the queue stands.
 #[derive(Debug)]
--- a/crates/cowslip-gateway/src/report_builder.rs
+++ b/crates/cowslip-gateway/src/report_builder.rs
@@ -20,7 +20,7 @@
         for arrived in std::mem::take(&mut self.arrived) {
             demand_line(&mut demand, &arrived.need).arrived += arrived.count;
         }
-        for waiting in self.waiting.iter().filter(|waiting| waiting.unplaced) {
+        for waiting in self.waiting.all().iter().filter(|waiting| waiting.unplaced) {
             let line = demand_line(&mut demand, &waiting.need);
             line.waiting += 1;
             line.oldest_ms = line.oldest_ms.max(now.since_ms(waiting.since));
@@ -43,7 +43,7 @@
             term: self.term,
             marks: self.cursors,
             demand,
-            running: if brief { Vec::new() } else { self.running.clone() },
+            running: if brief { Vec::new() } else { self.running.lines().to_vec() },
             tokens,
             may_lead: !settings.weak || self.member_count() <= SMALL_FLEET,
             reaches_store: self.can_reach_store(now),
--- a/crates/cowslip-gateway/src/request_context.rs
+++ b/crates/cowslip-gateway/src/request_context.rs
@@ -11,7 +11,7 @@
 use slog::info;
 use smol_str::SmolStr;
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::request_rejection::RequestRejection;
 
 /// A key check must be this many ms fresher than the time limit for revocations.
--- a/crates/cowslip-gateway/src/request_flow.rs
+++ b/crates/cowslip-gateway/src/request_flow.rs
@@ -17,8 +17,8 @@
 use tokio::time::timeout;
 
 use crate::dispatch::dispatch;
+use crate::gateway::Gateway;
 use crate::gateway_metrics::{CutLabels, OutcomeLabels};
-use crate::gateway_state::Gateway;
 use crate::lease_task::LEASE_MS;
 use crate::part_guard::check_arrival;
 use crate::request_context::{RequestContext, admit};
--- a/crates/cowslip-gateway/src/resume_permit.rs
+++ b/crates/cowslip-gateway/src/resume_permit.rs
@@ -6,7 +6,7 @@
 use cowslip_units::ServiceId;
 use tokio::sync::Notify;
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::retry_choice::take_retry;
 
 /// Permission to resume a stream, which takes one retry from the budget when it is used.
--- a/crates/cowslip-gateway/src/retry_choice.rs
+++ b/crates/cowslip-gateway/src/retry_choice.rs
@@ -3,7 +3,7 @@
 use cowslip_entry::UpstreamPick;
 use cowslip_units::{ClockTime, ServiceId, UpstreamId};
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::request_context::AdmittedRequest;
 use crate::request_progress::RequestProgress;
 use crate::upstream_choice::is_unknown_model;
--- a/crates/cowslip-gateway/src/slow_call.rs
+++ b/crates/cowslip-gateway/src/slow_call.rs
@@ -14,8 +14,8 @@
 
 use crate::call_guard::CallGuard;
 use crate::dispatch::send_until_answered;
+use crate::gateway::Gateway;
 use crate::gateway_metrics::OutcomeLabels;
-use crate::gateway_state::Gateway;
 use crate::outcome_record::{log_outcome, record_outcome};
 use crate::part_guard::record_break;
 use crate::plain_call::plain_call;
--- a/crates/cowslip-gateway/src/store_watch.rs
+++ b/crates/cowslip-gateway/src/store_watch.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use tokio::time::timeout;
 
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::lease_task::SMALL_FLEET;
 use crate::table_rows::{ReadExtent, apply_operator_rows, apply_upstream_rows};
 
--- a/crates/cowslip-gateway/src/stream_call.rs
+++ b/crates/cowslip-gateway/src/stream_call.rs
@@ -11,7 +11,7 @@
 use crate::call_guard::CallGuard;
 use crate::duty_counts::count_stream;
 use crate::event_source::{EventSource, NextEvents, is_broken_off, open_stream};
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::part_guard::TrialGuard;
 use crate::plain_call::{
     AnswerHead, caller_response, failure_outcome, read_full_body, record_response, return_connection,
--- a/crates/cowslip-gateway/src/table_rows.rs
+++ b/crates/cowslip-gateway/src/table_rows.rs
@@ -5,7 +5,8 @@
 use cowslip_units::{ClockTime, StoreEra, UpstreamId};
 use slog::{info, warn};
 
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 
 /// Coverage of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/cowslip-gateway/src/upstream_choice.rs
+++ b/crates/cowslip-gateway/src/upstream_choice.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::call_guard::CallGuard;
-use crate::gateway_state::Gateway;
+use crate::gateway::Gateway;
 use crate::part_guard::{TrialGuard, check_parts};
 use crate::queue_choice::{QueueChoice, choose_in_queue};
 use crate::queue_place::QueuePlace;
@@ -39,7 +39,7 @@
 
 impl Drop for WaitTicket {
     fn drop(&mut self) {
-        self.gateway.lock().end_wait(self.ticket);
+        self.gateway.lock().waiting.end(self.ticket);
     }
 }
 
@@ -245,7 +245,7 @@
 ) -> WaitTicket {
     let need = progress.need.model.clone();
     let need = need.unwrap_or_else(|| ModelNeed { model: ModelId::default(), adapter: None });
-    let ticket = gateway.lock().register_wait(need, admitted.priority(), is_queued, now);
+    let ticket = gateway.lock().waiting.register(need, admitted.priority(), is_queued, now);
     WaitTicket { gateway: Arc::clone(gateway), ticket }
 }
 
@@ -263,11 +263,11 @@
     let placement =
         matches!(cause, WaitCause::NoModel | WaitCause::NoAdapter | WaitCause::Away(_) | WaitCause::Full);
     let unplaced = placement && progress.need.model.is_some();
-    if state.set_unplaced(ticket, unplaced) {
+    if state.waiting.set_unplaced(ticket, unplaced) {
         gateway.request_report();
     }
     let load_eta_ms = progress.need.model.as_ref().and_then(|need| {
-        state.load_eta_ms(&need.model, false, now).or_else(|| state.load_delay_ms(&need.model, now))
+        state.loads.eta_ms(&need.model, false, now).or_else(|| state.loads.delay_ms(&need.model, now))
     });
     drop(state);
     let wait_ms = match cause {
--- a/crates/cowslip-gateway/src/upstream_notice.rs
+++ b/crates/cowslip-gateway/src/upstream_notice.rs
@@ -5,8 +5,8 @@
 use http::{HeaderMap, StatusCode};
 use slog::info;
 
+use crate::gateway::Gateway;
 use crate::gateway_metrics::NoticeLabels;
-use crate::gateway_state::Gateway;
 
 /// Records the notice in a response head. `start` identifies the instance start that the request was sent to,
 /// so that a slow response is not applied to a later start of the same upstream. `call` is the value for the
--- a/crates/cowslip-gateway/src/view_copy.rs
+++ b/crates/cowslip-gateway/src/view_copy.rs
@@ -5,7 +5,8 @@
 use cowslip_units::ClockTime;
 use slog::info;
 
-use crate::gateway_state::{Gateway, GatewayState};
+use crate::gateway::Gateway;
+use crate::gateway_state::GatewayState;
 use crate::table_rows::{ReadExtent, apply_operator_rows, apply_store_era};
 
 /// Copy of this gateway's tables for another gateway.
